--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Thin front of the CMake build.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES = $(filter-out src/proto/%,$(shell git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' 'testsuite/*.cpp' 'testsuite/*.h'))
+UNITS = $(filter %.cpp,$(SOURCES))
+
+.PHONY: all deps build test demo bench format format-check lint proto clean
+
+all: build
+
+deps:
+	@.ci/install
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja > $(BUILD).configure.log 2>&1 || { cat $(BUILD).configure.log; exit 1; }
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure
+
+demo: build
+	@bash testsuite/demo.sh $(BUILD)/src
+
+bench: build
+	@$(BUILD)/src/libsavorylb/savorylb_bench
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run --Werror $(SOURCES)
+
+lint: build
+	@printf '%s\n' $(UNITS) | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+
+proto:
+	@cd src/proto && protoc -I. --cpp_out=. --grpc_out=. \
+	  --plugin=protoc-gen-grpc=$$(command -v grpc_cpp_plugin) peer.proto
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/src/include/savorylb/event_code.h
@@ -0,0 +1,63 @@
+#ifndef SAVORYLB_EVENT_CODE_H
+#define SAVORYLB_EVENT_CODE_H
+
+namespace savorylb {
+
+/// Numbers of the events in the log; docs/EVENTS.md lists them all. A number
+/// is never used again for another event.
+enum class EventCode {
+  // Process.
+  DaemonStarted = 1001,
+  DaemonReady = 1002,
+  DrainStarted = 1003,
+  DaemonStopped = 1004,
+  PauseNoticed = 1005,
+  // Requests and placement.
+  LookupAnswered = 2001,
+  RequestDone = 2002,
+  RequestRefused = 2003,
+  RequestUnknown = 2004,
+  SlotGranted = 2005,
+  SlotRefused = 2006,
+  RequestRetried = 2007,
+  ResponseRejected = 2008,
+  SpilledOver = 2009,
+  RequestPlaced = 2010,
+  // Limits.
+  TokensBorrowed = 2101,
+  TokensLent = 2102,
+  // Ownership and leases.
+  OwnershipChanged = 3001,
+  OwnershipConflict = 3002,
+  LeaseLost = 3003,
+  LeaseRegained = 3004,
+  TakeoverDone = 3005,
+  TakeoverRefused = 3006,
+  // Documents and keys.
+  DocumentAdopted = 4001,
+  DocumentRejected = 4002,
+  DocumentRepaired = 4003,
+  DocumentDiverged = 4004,
+  StoreUnreachable = 4005,
+  StoreReachable = 4006,
+  KeysStale = 4007,
+  KeysFresh = 4008,
+  // Rollouts.
+  RolloutStepped = 5001,
+  RolloutStopped = 5002,
+  RolloutTakenBack = 5003,
+  RolloutDone = 5004,
+  RolloutLate = 5005,
+  // Targets and peers.
+  TargetDown = 6001,
+  TargetUp = 6002,
+  PeerDown = 6003,
+  PeerUp = 6004,
+};
+
+/// \returns the event's name as the log and the catalogue have it.
+const char *eventName(EventCode code);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_EVENT_CODE_H
--- /dev/null
+++ b/src/include/savorylb/event_log.h
@@ -0,0 +1,30 @@
+#ifndef SAVORYLB_EVENT_LOG_H
+#define SAVORYLB_EVENT_LOG_H
+
+#include "savorylb/event_code.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace savorylb {
+
+/// A value of an event's field.
+using EventValue = std::variant<std::string, std::int64_t, double, bool>;
+using EventFields = std::vector<std::pair<const char *, EventValue>>;
+
+/// Opens the event log of this process.
+/// \param file path of the log, empty for standard error.
+/// \param vm name written on each line.
+void openEventLog(const std::string &file, const std::string &vm);
+
+/// Writes one line of JSON: time, event number and name, VM and the fields.
+/// \param code the event.
+/// \param fields figures and reasons; never a key.
+void logEvent(EventCode code, const EventFields &fields);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_EVENT_LOG_H
--- /dev/null
+++ b/src/include/savorylb/once_ledger.h
@@ -0,0 +1,126 @@
+#ifndef SAVORYLB_ONCE_LEDGER_H
+#define SAVORYLB_ONCE_LEDGER_H
+
+#include "savorylb/ids.h"
+#include "savorylb/units.h"
+#include "savorylb/zone_document.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savorylb {
+
+/// Bodies above this size are not kept for repeats.
+constexpr std::size_t MaxStoredBody = 64 * 1024;
+
+/// A target's response, kept to answer repeats.
+struct StoredAnswer {
+  int Status = 0;
+  std::vector<std::pair<std::string, std::string>> Headers;
+  std::string Body;
+  bool BodyKept = true;
+};
+
+/// State of an at-most-once request.
+enum class OnceState { InProgress, Done, Unknown };
+
+/// What the home VM tells a forwarding VM.
+enum class OnceVerdict {
+  Go,
+  InProgress,
+  Done,
+  Unknown,
+  Conflict,
+  NotHome,
+  Refused
+};
+
+/// One at-most-once request.
+struct OnceEntry {
+  RequestId Identity;
+  /// Digest over team, method, path and body length.
+  std::string Digest;
+  TeamId Team;
+  OnceState State = OnceState::InProgress;
+  std::uint64_t Number = 0;
+  MonoTime BegunAt{};
+  MonoTime Deadline{};
+  StoredAnswer Answer;
+};
+
+/// Entries of one partition at its home VM, or a replica at the successor.
+struct OncePartition {
+  std::map<RequestId, OnceEntry> Entries;
+  /// Until then an identity never seen here answers Unknown, because entries
+  /// of it may have been lost.
+  MonoTime QuarantinedUntil{};
+  std::uint64_t NextNumber = 1;
+};
+
+/// Answer to a request that wants to run.
+struct BeginResult {
+  OnceVerdict Verdict = OnceVerdict::Refused;
+  std::uint64_t Number = 0;
+  StoredAnswer Answer;
+};
+
+/// Registers a request, or tells what became of its earlier attempt.
+///
+/// On Go the caller must replicate the new entry before it lets the request
+/// run, and call cancelOnce() when that fails.
+/// \param partition the partition; the caller checked ownership and lease.
+/// \param identity the request's identity.
+/// \param digest digest of the request.
+/// \param team the team whose key came with it.
+/// \param deadline the request's deadline.
+/// \param now the current time.
+/// \returns the verdict.
+BeginResult beginOnce(OncePartition &partition, const RequestId &identity,
+                      const std::string &digest, const TeamId &team,
+                      MonoTime deadline, MonoTime now);
+
+/// Removes an entry whose request certainly did not run.
+/// \returns false when the entry is gone or has another number.
+bool cancelOnce(OncePartition &partition, const RequestId &identity,
+                std::uint64_t number);
+
+/// Records the outcome; Done and Unknown are final.
+/// \returns false when the entry is gone, has another number or is final.
+bool finishOnce(OncePartition &partition, const RequestId &identity,
+                std::uint64_t number, OnceState state, StoredAnswer answer);
+
+/// Turns overdue entries into Unknown and drops those past their retention.
+/// \returns how many became Unknown.
+int expireOnce(OncePartition &partition, Duration retention, MonoTime now);
+
+/// Stores a replicated or transferred entry; a final state never goes back.
+void mergeOnce(OncePartition &partition, OnceEntry entry);
+
+/// Makes a replica into the home partition after a takeover.
+/// \param partition the replica.
+/// \param complete whether the replica is known to hold every entry.
+/// \param retention how long entries live.
+/// \param now the current time.
+void promoteReplica(OncePartition &partition, bool complete, Duration retention,
+                    MonoTime now);
+
+/// Where an identity lives.
+struct OnceHome {
+  ZoneId Zone;
+  int Partition = 0;
+};
+
+/// \param identity the request's identity, with or without a zone prefix.
+/// \param zones all configured zones.
+/// \param homeZones zones of the team's first region, for identities without
+/// a prefix.
+/// \returns the home zone and partition; the same on every VM.
+OnceHome homeOf(const RequestId &identity, const std::vector<ZoneId> &zones,
+                const std::vector<ZoneId> &homeZones);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_ONCE_LEDGER_H
--- /dev/null
+++ b/src/include/savorylb/placement.h
@@ -0,0 +1,49 @@
+#ifndef SAVORYLB_PLACEMENT_H
+#define SAVORYLB_PLACEMENT_H
+
+#include "savorylb/config.h"
+#include "savorylb/vm_view.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace savorylb {
+
+/// One VM to ask for a slot.
+struct PlacementChoice {
+  VmId Owner;
+  bool OtherRegion = false;
+  std::string Reason;
+};
+
+/// What a forwarding VM asks for.
+struct PlacementQuery {
+  VmId Self;
+  ZoneId Zone;
+  RegionId Region;
+  ServiceId Service;
+  VersionId Version;
+  /// Regions the team may use; empty for all.
+  std::vector<RegionId> TeamRegions;
+  bool Spill = true;
+  /// Two random numbers for the power of two choices.
+  std::uint64_t RandomA = 0;
+  std::uint64_t RandomB = 0;
+};
+
+/// Orders the owners to ask for a slot: own zone, own region, then other
+/// regions that published free slots.
+/// \param config the configuration in force.
+/// \param vms all known VMs, this one included.
+/// \param query what is wanted.
+/// \param now the current time; older figures count for less.
+/// \returns owners in the order to ask them.
+std::vector<PlacementChoice> placeRequest(const Config &config,
+                                          const std::vector<VmView> &vms,
+                                          const PlacementQuery &query,
+                                          MonoTime now);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_PLACEMENT_H
--- /dev/null
+++ b/src/include/savorylb/slot_table.h
@@ -0,0 +1,116 @@
+#ifndef SAVORYLB_SLOT_TABLE_H
+#define SAVORYLB_SLOT_TABLE_H
+
+#include "savorylb/ids.h"
+#include "savorylb/service.h"
+#include "savorylb/units.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace savorylb {
+
+/// How long a slot stays reserved after its request's deadline when the
+/// forwarding VM did not release it.
+constexpr Duration SlotExpiryGrace = Millis(500);
+
+/// What a target's load endpoint said.
+struct LoadReport {
+  int Slots = 0;
+  int Busy = 0;
+  bool Draining = false;
+  bool Shedding = false;
+  /// When the target measured it: the time of arrival less the stated age and
+  /// the round trip.
+  MonoTime MeasuredAt{};
+};
+
+/// A slot lent to one request.
+struct SlotGrant {
+  std::uint64_t Number = 0;
+  TargetId Target;
+  std::string Address;
+  VersionId Version;
+  MonoTime ExpiresAt{};
+};
+
+/// How a granted request ended, as its forwarding VM reports it.
+enum class SlotResult { Done, Failed, Shed, TimedOut, Unused };
+
+/// One owned target and its slots.
+struct OwnedTarget {
+  TargetSpec Spec;
+  std::map<std::uint64_t, MonoTime> Grants;
+  /// Slots that an earlier owner may still be using, and until when.
+  int InheritedBusy = 0;
+  MonoTime InheritedUntil{};
+  MonoTime OwnedSince{};
+  /// Start of the warm-up; a cold target gets one slot at first.
+  MonoTime WarmSince{};
+  std::optional<LoadReport> Report;
+  /// Slots the target still takes according to its newest report.
+  int ReportedLimit = 0;
+  bool Healthy = true;
+  int FailuresInRow = 0;
+  MonoTime RetryAt{};
+};
+
+/// The owned targets of one service.
+struct SlotTable {
+  ServiceSpec Service;
+  std::map<TargetId, OwnedTarget> Targets;
+  std::uint64_t NextGrant = 1;
+};
+
+/// Why no slot was granted.
+enum class SlotRefusal { NoTarget, Busy };
+
+/// Starts owning a target.
+/// \param table the owner's table.
+/// \param spec the configured target.
+/// \param inherited whether another VM may have requests on it.
+/// \param now the current time.
+void adoptTarget(SlotTable &table, const TargetSpec &spec, bool inherited,
+                 MonoTime now);
+
+/// Stops owning a target; requests in flight end on their own.
+/// \returns how many slots were still granted.
+int dropTarget(SlotTable &table, const TargetId &target);
+
+/// Grants a slot on the best target of a version.
+/// \param table the owner's table.
+/// \param version wanted version, empty for any.
+/// \param avoid target to avoid when another one is free.
+/// \param expiresAt the request's deadline.
+/// \param now the current time.
+/// \returns the grant, or nothing when no slot is free.
+std::optional<SlotGrant> grantSlot(SlotTable &table, const VersionId &version,
+                                   const TargetId &avoid, MonoTime expiresAt,
+                                   MonoTime now);
+
+/// Returns a slot.
+/// \returns false when the grant is unknown, such as one that expired.
+bool releaseSlot(SlotTable &table, const TargetId &target, std::uint64_t number,
+                 SlotResult result, MonoTime now);
+
+/// Frees slots whose request's deadline and grace have passed.
+void expireGrants(SlotTable &table, MonoTime now);
+
+/// Uses a load report: it can lower what is granted, never raise it above the
+/// configured slots, and an older report never replaces a newer one.
+void applyLoadReport(SlotTable &table, const TargetId &target,
+                     const LoadReport &report, MonoTime now);
+
+/// Records the result of a health probe.
+void applyHealth(SlotTable &table, const TargetId &target, bool healthy,
+                 MonoTime now);
+
+/// \returns slots that can be granted now, for one version or for all.
+int freeSlots(const SlotTable &table, const VersionId &version, MonoTime now);
+/// \returns slots of usable targets, busy or not.
+int usableSlots(const SlotTable &table, const VersionId &version, MonoTime now);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SLOT_TABLE_H
--- /dev/null
+++ b/src/include/savorylb/store_client.h
@@ -0,0 +1,46 @@
+#ifndef SAVORYLB_STORE_CLIENT_H
+#define SAVORYLB_STORE_CLIENT_H
+
+#include "savorylb/error.h"
+#include "savorylb/units.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace savorylb {
+
+/// A value of the store and the index of its last change.
+struct StoreValue {
+  std::string Content;
+  std::uint64_t ModifyIndex = 0;
+};
+
+/// Values under a prefix at one index of the store.
+struct StoreListing {
+  std::map<std::string, StoreValue> Values;
+  std::uint64_t Index = 0;
+};
+
+/// The edge to the platform's key-value store.
+struct StoreClient {
+  /// Reads one value; NotFound when there is none.
+  std::function<Result<StoreValue>(const std::string &key)> Get;
+  /// Lists a prefix. With an index it waits until something changes, at most
+  /// for the given time.
+  std::function<Result<StoreListing>(const std::string &prefix,
+                                     std::uint64_t afterIndex, Duration wait)>
+      List;
+  /// Writes when the value's index is still the given one; 0 means that the
+  /// key must not exist. Conflict when it is not; Unknown when the call may
+  /// have taken effect.
+  std::function<Result<void>(const std::string &key, const std::string &value,
+                             std::uint64_t expectedIndex)>
+      CompareAndSwap;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_STORE_CLIENT_H
--- /dev/null
+++ b/src/include/savorylb/version_choice.h
@@ -0,0 +1,24 @@
+#ifndef SAVORYLB_VERSION_CHOICE_H
+#define SAVORYLB_VERSION_CHOICE_H
+
+#include "savorylb/units.h"
+
+#include <cstdint>
+
+namespace savorylb {
+
+/// Error diffusion: after n choices at a steady share at most ceil(n * share)
+/// went to the new version, in every window and so in the sum of all VMs.
+struct VersionChoice {
+  /// Accumulated right to the new version, in ppm.
+  std::int64_t Accumulator = 0;
+};
+
+/// \param choice the state of one route.
+/// \param share share of the new version.
+/// \returns true when this request goes to the new version.
+bool chooseNewVersion(VersionChoice &choice, Ppm share);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_VERSION_CHOICE_H
--- /dev/null
+++ b/src/libsavorylb/units_test.cpp
@@ -0,0 +1,15 @@
+#include "savorylb/ids.h"
+#include "savorylb/units.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+TEST_GROUP(Units){};
+
+// Guards against shares that do not add up to a whole.
+TEST(Units, QuantitiesAddAndCompare) {
+  Ppm sum = Ppm(400'000) + Ppm(600'000);
+  CHECK(sum == WholePpm);
+  CHECK(Ppm(1) < Ppm(2));
+}
--- /dev/null
+++ b/src/savorylbd/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
