--- /dev/null
+++ b/src/include/savorylb/clock.h
@@ -0,0 +1,16 @@
+#ifndef SAVORYLB_CLOCK_H
+#define SAVORYLB_CLOCK_H
+
+#include "savorylb/units.h"
+
+namespace savorylb {
+
+/// \returns the time since boot, which goes on while the VM is suspended.
+MonoTime monoNow();
+
+/// \returns the wall-clock time.
+WallTime wallNow();
+
+} // namespace savorylb
+
+#endif // SAVORYLB_CLOCK_H
--- a/src/include/savorylb/once_ledger.h
+++ b/src/include/savorylb/once_ledger.h
@@ -57,6 +57,9 @@
   /// Until then an identity never seen here answers Unknown, because entries
   /// of it may have been lost.
   MonoTime QuarantinedUntil{};
+  /// Revision of the owner map at which entries may have been lost. An identity
+  /// whose prefix names this revision or a later one was made afterwards.
+  std::int64_t QuarantineRevision = 0;
   std::uint64_t NextNumber = 1;
 };
 
@@ -77,10 +80,13 @@
 /// \param team the team whose key came with it.
 /// \param deadline the request's deadline.
 /// \param now the current time.
+/// \param revision current revision of the owner map; an identity cannot have
+/// been made under a higher one.
 /// \returns the verdict.
 BeginResult beginOnce(OncePartition &partition, const RequestId &identity,
                       const std::string &digest, const TeamId &team,
-                      MonoTime deadline, MonoTime now);
+                      MonoTime deadline, MonoTime now,
+                      std::int64_t revision = 0);
 
 /// Removes an entry whose request certainly did not run.
 /// \returns false when the entry is gone or has another number.
@@ -107,6 +113,10 @@
 void promoteReplica(OncePartition &partition, bool complete, Duration retention,
                     MonoTime now);
 
+/// \param identity an identity such as `tema-a@57:permit-1`.
+/// \returns the revision that its prefix names, 0 without one.
+std::int64_t identityRevision(const RequestId &identity);
+
 /// Where an identity lives.
 struct OnceHome {
   ZoneId Zone;
--- /dev/null
+++ b/src/include/savorylb/vm_list_client_http.h
@@ -0,0 +1,18 @@
+#ifndef SAVORYLB_VM_LIST_CLIENT_HTTP_H
+#define SAVORYLB_VM_LIST_CLIENT_HTTP_H
+
+#include "savorylb/vm_list_client.h"
+
+#include <string>
+
+namespace savorylb {
+
+/// Makes a client for the platform's VM list.
+/// \param url such as `http://127.0.0.1:8500/v1/vms`.
+/// \param timeout limit for each call.
+/// \returns the client; it may be used by several threads.
+VmListClient makeHttpVmListClient(const std::string &url, Duration timeout);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_VM_LIST_CLIENT_HTTP_H
--- /dev/null
+++ b/src/libsavoryedge/metrics.cpp
@@ -0,0 +1,133 @@
+#include "savorylb/metrics.h"
+
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <vector>
+
+namespace savorylb {
+namespace {
+
+namespace bh = boost::histogram;
+
+/// Latency bins from 50 us to 50 s, 20 a decade.
+using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using LatencyHistogram = decltype(bh::make_histogram(LatencyAxis()));
+
+LatencyHistogram makeLatency() {
+  return bh::make_histogram(LatencyAxis(120, 5e-5, 50.0));
+}
+
+struct RequestSeries {
+  std::int64_t Count = 0;
+  double Sum = 0;
+  LatencyHistogram Total = makeLatency();
+  LatencyHistogram Added = makeLatency();
+};
+
+/// Metrics are spread over shards, so that threads rarely meet on a lock.
+struct MetricShard {
+  std::mutex Lock;
+  std::map<std::string, RequestSeries> Requests;
+  std::map<std::string, std::int64_t> Counters;
+  std::map<std::string, double> Gauges;
+};
+
+std::array<MetricShard, 16> &shards() {
+  static std::array<MetricShard, 16> Shards;
+  return Shards;
+}
+
+MetricShard &shardOf(const std::string &name) {
+  return shards()[std::hash<std::string>()(name) % shards().size()];
+}
+
+void renderHistogram(std::ostream &out, const std::string &name,
+                     const std::string &labels, const LatencyHistogram &hist) {
+  double seen = 0;
+  auto under = hist.at(-1);
+  seen += under;
+  int n = hist.axis(0).size();
+  for (int i = 0; i < n; ++i) {
+    seen += hist.at(i);
+    // Ten bins a decade are enough for a reader; the rest is summed up.
+    if (i % 2 == 1)
+      out << name << "_bucket{" << labels << ",le=\""
+          << hist.axis(0).value(i + 1) << "\"} " << seen << '\n';
+  }
+  seen += hist.at(n);
+  out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << seen << '\n';
+}
+
+} // namespace
+
+void countRequest(const std::string &team, const std::string &service,
+                  const std::string &region, const std::string &outcome,
+                  const std::string &reason, Duration total, Duration added) {
+  std::string labels = "team=\"" + team + "\",service=\"" + service +
+                       "\",region=\"" + region + "\",outcome=\"" + outcome +
+                       "\",reason=\"" + reason + "\"";
+  MetricShard &shard = shardOf(labels);
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  RequestSeries &series = shard.Requests[labels];
+  series.Count += 1;
+  series.Sum += static_cast<double>(total.count()) * 1e-6;
+  series.Total(static_cast<double>(total.count()) * 1e-6);
+  series.Added(static_cast<double>(added.count()) * 1e-6);
+}
+
+void countEvent(const std::string &name, std::int64_t n) {
+  MetricShard &shard = shardOf(name);
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  shard.Counters[name] += n;
+}
+
+std::int64_t eventCount(const std::string &name) {
+  MetricShard &shard = shardOf(name);
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  auto it = shard.Counters.find(name);
+  return it == shard.Counters.end() ? 0 : it->second;
+}
+
+void setGauge(const std::string &name, double value) {
+  MetricShard &shard = shardOf(name);
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  shard.Gauges[name] = value;
+}
+
+std::string renderMetrics() {
+  std::ostringstream requests;
+  std::ostringstream latency;
+  std::ostringstream added;
+  std::ostringstream others;
+  for (MetricShard &shard : shards()) {
+    std::lock_guard<std::mutex> guard(shard.Lock);
+    for (const auto &[labels, series] : shard.Requests) {
+      requests << "savorylb_requests_total{" << labels << "} " << series.Count
+               << '\n';
+      renderHistogram(latency, "savorylb_request_seconds", labels,
+                      series.Total);
+      latency << "savorylb_request_seconds_sum{" << labels << "} " << series.Sum
+              << '\n'
+              << "savorylb_request_seconds_count{" << labels << "} "
+              << series.Count << '\n';
+      renderHistogram(added, "savorylb_added_seconds", labels, series.Added);
+    }
+    for (const auto &[name, value] : shard.Counters)
+      others << "# TYPE savorylb_" << name << "_total counter\nsavorylb_"
+             << name << "_total " << value << '\n';
+    for (const auto &[name, value] : shard.Gauges)
+      others << "# TYPE savorylb_" << name << " gauge\nsavorylb_" << name << ' '
+             << value << '\n';
+  }
+  return "# TYPE savorylb_requests_total counter\n" + requests.str() +
+         "# TYPE savorylb_request_seconds histogram\n" + latency.str() +
+         "# TYPE savorylb_added_seconds histogram\n" + added.str() +
+         others.str();
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/libsavoryedge/response_reader.cpp
@@ -0,0 +1,137 @@
+#include "response_reader.h"
+
+#include "connection_pool.h"
+#include "savorylb/clock.h"
+#include "savorylb/target_client_http.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/String.h>
+#include <algorithm>
+#include <vector>
+
+namespace savorylb {
+namespace {
+
+using Poco::Net::HTTPResponse;
+
+constexpr std::size_t ReadBuffer = 64 * 1024;
+
+bool hasNoBody(const TargetRequest &request, int status) {
+  return request.Method == Poco::Net::HTTPRequest::HTTP_HEAD ||
+         status == HTTPResponse::HTTP_NO_CONTENT ||
+         status == HTTPResponse::HTTP_NOT_MODIFIED;
+}
+
+/// Headers of one hop, and those that only the daemon and the target use.
+bool isPrivateHeader(const std::string &name) {
+  static const char *const Names[] = {
+      "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",
+      "Upgrade",    "Proxy-Connection", "Trailer",           "TE",
+      "X-Outcome",  "X-Attempt-Nonce",  "X-Reason",          "X-Served-By"};
+  return std::any_of(std::begin(Names), std::end(Names), [&](const char *it) {
+    return Poco::icompare(name, it) == 0;
+  });
+}
+
+/// \returns an empty text, or why the response is not the request's own.
+std::string checkEcho(const TargetRequest &request, const HTTPResponse &head) {
+  if (head.has("X-Attempt-Nonce"))
+    return head.get("X-Attempt-Nonce") == request.Nonce ? "" : "crossed";
+  return request.RequireEcho ? "no-echo" : "";
+}
+
+struct BodyReader {
+  std::istream &In;
+  std::int64_t Length;
+  MonoTime Deadline;
+  const ResponseSink &Sink;
+  TargetResponse &Response;
+  std::ostream *Out = nullptr;
+};
+
+bool startStreaming(BodyReader &reader) {
+  reader.Out = reader.Sink.Start
+                   ? reader.Sink.Start(reader.Response.Status,
+                                       reader.Response.Headers, reader.Length)
+                   : nullptr;
+  reader.Response.Streamed = reader.Out != nullptr;
+  if (!reader.Out)
+    return false;
+  reader.Out->write(reader.Response.Body.data(),
+                    static_cast<std::streamsize>(reader.Response.Body.size()));
+  reader.Response.Body.clear();
+  return reader.Out->good();
+}
+
+/// \returns an empty text, or why the body is not whole.
+std::string copyBody(BodyReader &reader) {
+  if (reader.Length > MaxBufferedResponse && !startStreaming(reader))
+    return "caller-gone";
+  std::vector<char> buf(ReadBuffer);
+  while (reader.Length < 0 || reader.Response.BodyBytes < reader.Length) {
+    if (monoNow() >= reader.Deadline)
+      return "timeout";
+    std::int64_t want = ReadBuffer;
+    if (reader.Length >= 0)
+      want = std::min(want, reader.Length - reader.Response.BodyBytes);
+    reader.In.read(buf.data(), want);
+    std::streamsize n = reader.In.gcount();
+    if (n <= 0)
+      break;
+    reader.Response.BodyBytes += n;
+    if (reader.Out) {
+      reader.Out->write(buf.data(), n);
+      if (!reader.Out->good())
+        return "caller-gone";
+      continue;
+    }
+    reader.Response.Body.append(buf.data(), static_cast<std::size_t>(n));
+    if (reader.Length < 0 && reader.Response.BodyBytes > MaxBufferedResponse &&
+        !startStreaming(reader))
+      return "caller-gone";
+  }
+  bool cut = reader.Length >= 0 && reader.Response.BodyBytes < reader.Length;
+  return cut ? "truncated" : "";
+}
+
+} // namespace
+
+void readResponse(Poco::Net::HTTPClientSession &session,
+                  const TargetRequest &request, MonoTime deadline,
+                  const ResponseSink &sink, TargetResponse &response) {
+  HTTPResponse head;
+  std::istream &in = session.receiveResponse(head);
+  response.Status = head.getStatus();
+  for (const auto &[name, value] : head)
+    if (!isPrivateHeader(name))
+      response.Headers.emplace_back(name, value);
+  response.Reason = checkEcho(request, head);
+  if (!response.Reason.empty()) {
+    session.reset();
+    return;
+  }
+  bool notRun = head.get("X-Outcome", "") == "not-run";
+  bool chunked = head.getChunkedTransferEncoding();
+  std::int64_t length = head.getContentLength64();
+  if (!hasNoBody(request, response.Status)) {
+    if (!chunked && length < 0)
+      response.Reason = "no-length";
+    BodyReader reader{in, chunked ? -1 : length, deadline, sink, response};
+    if (response.Reason.empty())
+      response.Reason = copyBody(reader);
+    // A chunked body that was cut ends like a complete one; the closed
+    // connection tells them apart.
+    if (response.Reason.empty() && chunked && isReadable(session))
+      response.Reason = "truncated";
+  }
+  if (!head.getKeepAlive() || !response.Reason.empty())
+    session.setKeepAlive(false);
+  if (!response.Reason.empty())
+    return;
+  response.Outcome = notRun ? TargetOutcome::NotRun : TargetOutcome::Done;
+  if (notRun)
+    response.Reason = "shed";
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/libsavoryedge/target_client_http.cpp
@@ -0,0 +1,195 @@
+#include "savorylb/target_client_http.h"
+
+#include "connection_pool.h"
+#include "response_reader.h"
+#include "savorylb/clock.h"
+#include "target_probe.h"
+#include "url.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <algorithm>
+#include <poll.h>
+
+namespace savorylb {
+namespace {
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+
+constexpr Duration MaxConnectTime = Seconds(1);
+/// How often a waiting request looks whether its caller has left.
+constexpr Duration CancelPollInterval = Millis(20);
+constexpr std::size_t CopyBuffer = 64 * 1024;
+
+struct Attempt {
+  const TargetRequest &Request;
+  MonoTime Deadline;
+  std::unique_ptr<HTTPClientSession> Session;
+  TargetResponse Response;
+};
+
+Duration remaining(const Attempt &attempt) {
+  return std::max(Duration(0), attempt.Deadline - monoNow());
+}
+
+void applyTimeout(Attempt &attempt) {
+  Poco::Timespan left(std::max<std::int64_t>(1000, remaining(attempt).count()));
+  attempt.Session->setTimeout(left, left, left);
+}
+
+/// \returns false, with the reason set, when no connection came about.
+bool openConnection(Attempt &attempt, ConnectionPool &pool) {
+  const TargetRequest &request = attempt.Request;
+  if (!request.VerifiedConnection)
+    attempt.Session = takeIdle(pool, request.Address, monoNow());
+  if (attempt.Session)
+    return true;
+  HostPort target = splitUrl(request.Address);
+  attempt.Session =
+      std::make_unique<HTTPClientSession>(target.Host, target.Port);
+  Duration limit = std::min(MaxConnectTime, remaining(attempt));
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(target.Host, target.Port),
+                   Poco::Timespan(limit.count()));
+    socket.setNoDelay(true);
+    attempt.Session = std::make_unique<HTTPClientSession>(socket);
+    attempt.Session->setKeepAlive(true);
+    return true;
+  } catch (const Poco::Exception &) {
+    attempt.Response.Outcome = TargetOutcome::NotRun;
+    attempt.Response.Reason = "connect";
+    return false;
+  }
+}
+
+HTTPRequest makeRequest(const TargetRequest &request, Duration left) {
+  HTTPRequest out(request.Method, request.Path, HTTPRequest::HTTP_1_1);
+  out.setHost(request.Address);
+  out.setKeepAlive(true);
+  for (const auto &[name, value] : request.Headers)
+    out.add(name, value);
+  auto ms = std::chrono::duration_cast<Millis>(left).count();
+  out.set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(1, ms)));
+  out.set("X-Attempt-Nonce", request.Nonce);
+  if (request.BodyLength >= 0)
+    out.setContentLength64(request.BodyLength);
+  else
+    out.setChunkedTransferEncoding(true);
+  return out;
+}
+
+/// \returns false when the body could not be passed on whole.
+bool sendBody(Attempt &attempt, std::ostream &out) {
+  const TargetRequest &request = attempt.Request;
+  if (!request.Body)
+    return true;
+  std::vector<char> buf(CopyBuffer);
+  while (request.BodyLength < 0 ||
+         attempt.Response.SentBytes < request.BodyLength) {
+    std::int64_t want = CopyBuffer;
+    if (request.BodyLength >= 0)
+      want = std::min<std::int64_t>(want, request.BodyLength -
+                                              attempt.Response.SentBytes);
+    request.Body->read(buf.data(), want);
+    std::streamsize n = request.Body->gcount();
+    if (n <= 0)
+      return request.BodyLength < 0 && request.Body->eof();
+    out.write(buf.data(), n);
+    if (!out.good())
+      return false;
+    attempt.Response.SentBytes += n;
+    if (remaining(attempt) == Duration(0))
+      return false;
+  }
+  return true;
+}
+
+enum class WaitResult { Readable, TimedOut, Cancelled };
+
+WaitResult waitForResponse(Attempt &attempt) {
+  pollfd fd{};
+  fd.fd = attempt.Session->socket().impl()->sockfd();
+  fd.events = POLLIN;
+  while (true) {
+    Duration left = remaining(attempt);
+    if (left == Duration(0))
+      return WaitResult::TimedOut;
+    auto step =
+        std::chrono::duration_cast<Millis>(std::min(left, CancelPollInterval));
+    int ms = std::max<int>(1, static_cast<int>(step.count()));
+    if (poll(&fd, 1, ms) > 0)
+      return WaitResult::Readable;
+    if (attempt.Request.Cancelled && attempt.Request.Cancelled())
+      return WaitResult::Cancelled;
+  }
+}
+
+void fail(Attempt &attempt, const char *reason) {
+  attempt.Response.Outcome = TargetOutcome::Unknown;
+  attempt.Response.Reason = reason;
+}
+
+void runAttempt(Attempt &attempt, const ResponseSink &sink) {
+  applyTimeout(attempt);
+  HTTPRequest request = makeRequest(attempt.Request, remaining(attempt));
+  std::ostream &out = attempt.Session->sendRequest(request);
+  bool whole = sendBody(attempt, out);
+  out.flush();
+  if (!whole && !isReadable(*attempt.Session))
+    return fail(attempt, "request-cut");
+  switch (waitForResponse(attempt)) {
+  case WaitResult::TimedOut:
+    return fail(attempt, "timeout");
+  case WaitResult::Cancelled:
+    return fail(attempt, "cancelled");
+  case WaitResult::Readable:
+    break;
+  }
+  applyTimeout(attempt);
+  readResponse(*attempt.Session, attempt.Request, attempt.Deadline, sink,
+               attempt.Response);
+  // A response that came before the whole body was sent leaves the connection
+  // in the middle of a request.
+  if (!whole)
+    attempt.Session->reset();
+}
+
+TargetResponse sendToTarget(ConnectionPool &pool, const TargetRequest &request,
+                            const ResponseSink &sink) {
+  MonoTime start = monoNow();
+  Attempt attempt{request, start + request.Remaining, nullptr, {}};
+  if (openConnection(attempt, pool)) {
+    try {
+      runAttempt(attempt, sink);
+    } catch (const Poco::TimeoutException &) {
+      fail(attempt, "timeout");
+    } catch (const std::exception &) {
+      fail(attempt, "connection-lost");
+    }
+    bool reusable =
+        attempt.Response.Reason.empty() || attempt.Response.Reason == "shed";
+    if (reusable && attempt.Session->connected() &&
+        attempt.Session->getKeepAlive())
+      keepIdle(pool, request.Address, std::move(attempt.Session), monoNow());
+  }
+  attempt.Response.Took = monoNow() - start;
+  return std::move(attempt.Response);
+}
+
+} // namespace
+
+TargetClient makeHttpTargetClient() {
+  auto pool = std::make_shared<ConnectionPool>();
+  TargetClient client;
+  client.Send = [pool](const TargetRequest &request, const ResponseSink &sink) {
+    return sendToTarget(*pool, request, sink);
+  };
+  client.ReadLoad = readTargetLoad;
+  client.ProbeHealth = probeTargetHealth;
+  return client;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/libsavoryedge/target_probe.cpp
@@ -0,0 +1,71 @@
+#include "target_probe.h"
+
+#include "savorylb/clock.h"
+#include "url.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <json/json.h>
+
+namespace savorylb {
+namespace {
+
+constexpr Duration ProbeTimeout = Millis(800);
+
+Result<Json::Value> getJson(const std::string &address,
+                            const std::string &path) {
+  try {
+    HostPort target = splitUrl(address);
+    Poco::Net::HTTPClientSession session(target.Host, target.Port);
+    session.setTimeout(Poco::Timespan(ProbeTimeout.count()));
+    session.setKeepAlive(false);
+    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path,
+                                   Poco::Net::HTTPRequest::HTTP_1_1);
+    session.sendRequest(request);
+    Poco::Net::HTTPResponse response;
+    std::istream &in = session.receiveResponse(response);
+    Json::CharReaderBuilder builder;
+    Json::Value root;
+    std::string errors;
+    if (!Json::parseFromStream(builder, in, &root, &errors) || !root.isObject())
+      return failure(ErrorCode::Malformed, path + " is not a JSON object");
+    root["http_status"] = response.getStatus();
+    return root;
+  } catch (const std::exception &ex) {
+    return failure(ErrorCode::Unavailable, path + ": " + ex.what());
+  }
+}
+
+} // namespace
+
+Result<LoadReport> readTargetLoad(const std::string &address) {
+  MonoTime sent = monoNow();
+  auto root = getJson(address, "/load");
+  if (!root)
+    return root.error();
+  const Json::Value &load = root.value();
+  LoadReport report;
+  try {
+    report.Slots = load.get("slots", 0).asInt();
+    report.Busy = load.get("busy", 0).asInt();
+    report.Draining = load.get("draining", false).asBool();
+    report.Shedding = load.get("shedding", false).asBool();
+    // The target measured no later than its reply; counting from when the
+    // request was sent subtracts the round trip.
+    report.MeasuredAt = sent - Millis(load.get("age_ms", 0).asInt64());
+  } catch (const Json::Exception &ex) {
+    return failure(ErrorCode::Malformed, std::string("/load: ") + ex.what());
+  }
+  return report;
+}
+
+Result<bool> probeTargetHealth(const std::string &address) {
+  auto root = getJson(address, "/health");
+  if (!root)
+    return root.error();
+  std::string status = root.value().get("status", "").asString();
+  return status == "ready" || status == "cold";
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/daemon.h
@@ -0,0 +1,59 @@
+#ifndef SAVORYLB_SAVORYLBD_DAEMON_H
+#define SAVORYLB_SAVORYLBD_DAEMON_H
+
+#include "document_state.h"
+#include "ledger_shards.h"
+#include "link_shards.h"
+#include "membership_state.h"
+#include "peer_directory.h"
+#include "rollout_shards.h"
+#include "savorylb/settings.h"
+#include "savorylb/store_client.h"
+#include "savorylb/target_client.h"
+#include "savorylb/vm_list_client.h"
+#include "service_shard.h"
+#include "team_shards.h"
+
+#include <atomic>
+
+namespace savorylb {
+
+/// All state of one daemon. Each part has its own lock; no lock is held
+/// across a call to another process.
+struct Daemon {
+  Settings Conf;
+  Incarnation Life;
+  MonoTime StartedAt{};
+  StoreClient Store;
+  VmListClient VmList;
+  TargetClient Targets;
+
+  DocumentState Documents;
+  MembershipState Membership;
+  PeerDirectory Peers;
+  TeamShards Teams;
+  ServiceShards Services;
+  LedgerShards Ledger;
+  RolloutShards Rollouts;
+  LinkShards Links;
+
+  /// A planned stop has begun: lookups stop naming this VM.
+  std::atomic<bool> Departing{false};
+  /// The grace of a planned stop is over: responses close their connection.
+  std::atomic<bool> Closing{false};
+  /// Background threads end.
+  std::atomic<bool> Stopping{false};
+  /// Keys are fresh enough to serve keyed requests.
+  std::atomic<bool> KeysInForce{true};
+  std::atomic<int> RequestsInFlight{0};
+  std::atomic<std::int64_t> LastRequestAt{0};
+};
+
+/// \returns endpoint of the peer interface.
+std::string ownPeerEndpoint(const Daemon &daemon);
+/// \returns endpoint of the caller interface.
+std::string ownCallerEndpoint(const Daemon &daemon);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_DAEMON_H
--- /dev/null
+++ b/src/savorylbd/document_state.cpp
@@ -0,0 +1,233 @@
+#include "document_state.h"
+
+#include "daemon.h"
+#include "savorylb/clock.h"
+#include "savorylb/event_log.h"
+#include "savorylb/metrics.h"
+
+#include <optional>
+
+namespace savorylb {
+namespace {
+
+bool startsWith(const std::string &text, const std::string &prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+void rebuildSnapshot(Daemon &daemon,
+                     const std::function<void(Snapshot &)> &edit) {
+  auto next = std::make_shared<Snapshot>(*currentSnapshot(daemon));
+  edit(*next);
+  std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+  daemon.Documents.Current = next;
+}
+
+/// \returns an empty text, or why the document is not valid.
+std::string applyConfig(Daemon &daemon, const std::string &key,
+                        const std::string &content) {
+  Findings findings;
+  Config config = parseConfig(key, content, findings);
+  if (!findings.empty())
+    return formatFindings(findings);
+  rebuildSnapshot(daemon, [&](Snapshot &it) {
+    it.Blocks = makeBlockTable(config.Blocks, config.Sites);
+    it.Conf = std::move(config);
+  });
+  applyRollouts(daemon, currentSnapshot(daemon)->Conf);
+  applyOwnership(daemon);
+  return "";
+}
+
+std::string applyKeys(Daemon &daemon, const std::string &content) {
+  Result<KeyRing> ring = parseKeyRing(content);
+  if (!ring)
+    return ring.error().Message;
+  rebuildSnapshot(daemon,
+                  [&](Snapshot &it) { it.Keys = std::move(ring.value()); });
+  return "";
+}
+
+std::string applyZone(Daemon &daemon, const std::string &key,
+                      const std::string &content, std::uint64_t storeIndex) {
+  Result<ZoneDocument> doc = parseZoneDocument(content);
+  if (!doc)
+    return doc.error().Message;
+  {
+    auto shared = std::make_shared<const ZoneDocument>(doc.value());
+    std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+    daemon.Documents.Zones[doc.value().Zone] = shared;
+  }
+  if (key == zoneKey(daemon.Conf.Zone))
+    applyZoneDocument(daemon, doc.value(), storeIndex);
+  return "";
+}
+
+std::string applyRecord(Daemon &daemon, const std::string &content) {
+  Result<RolloutRecord> record = parseRolloutRecord(content);
+  if (!record)
+    return record.error().Message;
+  applyRolloutRecord(daemon, record.value());
+  return "";
+}
+
+std::string applyDocument(Daemon &daemon, const std::string &key,
+                          const std::string &content,
+                          std::uint64_t storeIndex) {
+  if (key == ConfigKey)
+    return applyConfig(daemon, key, content);
+  if (key == KeysKey)
+    return applyKeys(daemon, content);
+  if (startsWith(key, ZonesPrefix))
+    return applyZone(daemon, key, content, storeIndex);
+  if (startsWith(key, RolloutsPrefix))
+    return applyRecord(daemon, content);
+  return "";
+}
+
+const char *sourceName(DocumentSource source) {
+  switch (source) {
+  case DocumentSource::Store:
+    return "store";
+  case DocumentSource::Peer:
+    return "peer";
+  case DocumentSource::OwnWrite:
+    return "own-write";
+  }
+  return "";
+}
+
+void rejectDocument(Daemon &daemon, const std::string &key, Revision revision,
+                    const std::string &why) {
+  {
+    std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+    Revision &known = daemon.Documents.Rejected[key];
+    if (known == revision)
+      return;
+    known = revision;
+  }
+  countEvent("documents_rejected");
+  logEvent(EventCode::DocumentRejected,
+           {{"key", key}, {"revision", revision.Value}, {"findings", why}});
+}
+
+void adoptDocument(Daemon &daemon, const std::string &key,
+                   const std::string &content, Revision revision,
+                   std::uint64_t storeIndex, DocumentSource source) {
+  std::string why = applyDocument(daemon, key, content, storeIndex);
+  if (!why.empty())
+    return rejectDocument(daemon, key, revision, why);
+  {
+    std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+    daemon.Documents.Documents[key] = {revision, content, storeIndex};
+  }
+  logEvent(EventCode::DocumentAdopted, {{"key", key},
+                                        {"revision", revision.Value},
+                                        {"source", sourceName(source)}});
+}
+
+void noteIndex(Daemon &daemon, const std::string &key,
+               std::uint64_t storeIndex) {
+  if (storeIndex == 0)
+    return;
+  {
+    std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+    daemon.Documents.Documents[key].StoreIndex = storeIndex;
+  }
+  if (key == zoneKey(daemon.Conf.Zone)) {
+    std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
+    daemon.Membership.DocIndex = storeIndex;
+  }
+}
+
+void repairStore(Daemon &daemon, const std::string &key,
+                 const CachedDocument &own, std::uint64_t storeIndex) {
+  Result<void> written =
+      daemon.Store.CompareAndSwap(key, own.Content, storeIndex);
+  countEvent("documents_repaired");
+  logEvent(EventCode::DocumentRepaired, {{"key", key},
+                                         {"revision", own.Rev.Value},
+                                         {"written", written.has_value()}});
+}
+
+/// \returns the own copy when the store is to be repaired with it.
+std::optional<CachedDocument> judgeAndApply(Daemon &daemon,
+                                            const std::string &key,
+                                            const std::string &content,
+                                            std::uint64_t storeIndex,
+                                            DocumentSource source) {
+  std::lock_guard<std::mutex> adopting(daemon.Documents.AdoptLock);
+  CachedDocument own = heldDocument(daemon, key);
+  Revision revision = revisionOf(content);
+  bool fromStore = source == DocumentSource::Store;
+  Adoption verdict = judgeDocument(own.Content.empty() ? nullptr : &own,
+                                   revision, content, fromStore);
+  // The store decides between two owner maps of one revision: writes of the
+  // owner map are compared and swapped there.
+  if (verdict == Adoption::Diverged && fromStore &&
+      startsWith(key, ZonesPrefix))
+    verdict = Adoption::Adopt;
+  switch (verdict) {
+  case Adoption::Adopt:
+    adoptDocument(daemon, key, content, revision, storeIndex, source);
+    break;
+  case Adoption::Same:
+    noteIndex(daemon, key, storeIndex);
+    break;
+  case Adoption::Ignore:
+    break;
+  case Adoption::Diverged:
+    rejectDocument(daemon, key, revision,
+                   "same revision with other content is held");
+    break;
+  case Adoption::Repair:
+    return own;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+SnapshotPtr currentSnapshot(Daemon &daemon) {
+  std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+  return daemon.Documents.Current;
+}
+
+void offerDocument(Daemon &daemon, const std::string &key,
+                   const std::string &content, std::uint64_t storeIndex,
+                   DocumentSource source) {
+  auto own = judgeAndApply(daemon, key, content, storeIndex, source);
+  if (own)
+    repairStore(daemon, key, *own, storeIndex);
+}
+
+CachedDocument heldDocument(Daemon &daemon, const std::string &key) {
+  std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+  auto it = daemon.Documents.Documents.find(key);
+  return it == daemon.Documents.Documents.end() ? CachedDocument{} : it->second;
+}
+
+std::map<std::string, CachedDocument> heldDocuments(Daemon &daemon) {
+  std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+  return daemon.Documents.Documents;
+}
+
+void noteStoreContact(Daemon &daemon, bool reached) {
+  bool changed = false;
+  {
+    std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+    DocumentState &state = daemon.Documents;
+    changed = state.StoreReachable != reached;
+    state.StoreReachable = reached;
+    if (reached) {
+      state.StoreContactAt = monoNow();
+      state.ListedOnce = true;
+    }
+  }
+  if (changed)
+    logEvent(reached ? EventCode::StoreReachable : EventCode::StoreUnreachable,
+             {});
+}
+
+std::string zoneKey(const ZoneId &zone) { return ZonesPrefix + zone.Value; }
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/document_state.h
@@ -0,0 +1,74 @@
+#ifndef SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
+#define SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
+
+#include "savorylb/document_cache.h"
+#include "savorylb/units.h"
+#include "savorylb/zone_document.h"
+#include "snapshot.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace savorylb {
+
+struct Daemon;
+
+inline constexpr char DocumentPrefix[] = "savory/v1/";
+inline constexpr char ConfigKey[] = "savory/v1/config";
+inline constexpr char KeysKey[] = "savory/v1/keys";
+inline constexpr char ZonesPrefix[] = "savory/v1/zones/";
+inline constexpr char RolloutsPrefix[] = "savory/v1/rollouts/";
+
+/// The documents of the store as this daemon holds them.
+struct DocumentState {
+  /// Held while a document is judged and applied, so that documents take
+  /// effect in the order of their revisions.
+  std::mutex AdoptLock;
+  std::mutex Lock;
+  std::map<std::string, CachedDocument> Documents;
+  SnapshotPtr Current = std::make_shared<Snapshot>();
+  /// Owner maps of all zones, to find home VMs.
+  std::map<ZoneId, std::shared_ptr<const ZoneDocument>> Zones;
+  /// Last time this daemon reached the store.
+  MonoTime StoreContactAt{};
+  bool StoreReachable = false;
+  /// The store was listed at least once, so a missing document is known to be
+  /// missing.
+  bool ListedOnce = false;
+  /// Revisions that were refused, to report each once.
+  std::map<std::string, Revision> Rejected;
+};
+
+/// Where an offered document came from.
+enum class DocumentSource { Store, Peer, OwnWrite };
+
+/// \returns the configuration and keys in force.
+SnapshotPtr currentSnapshot(Daemon &daemon);
+
+/// Adopts, ignores, repairs or rejects a document.
+/// \param daemon the daemon.
+/// \param key its key in the store.
+/// \param content its content.
+/// \param storeIndex its modify index, 0 when not from the store.
+/// \param source where it came from.
+void offerDocument(Daemon &daemon, const std::string &key,
+                   const std::string &content, std::uint64_t storeIndex,
+                   DocumentSource source);
+
+/// \returns the held copy, without content when there is none.
+CachedDocument heldDocument(Daemon &daemon, const std::string &key);
+
+/// \returns key and copy of all held documents.
+std::map<std::string, CachedDocument> heldDocuments(Daemon &daemon);
+
+/// Records whether the store answered.
+void noteStoreContact(Daemon &daemon, bool reached);
+
+/// \returns the document key of a zone's owner map.
+std::string zoneKey(const ZoneId &zone);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
--- /dev/null
+++ b/src/savorylbd/heartbeat.h
@@ -0,0 +1,27 @@
+#ifndef SAVORYLB_SAVORYLBD_HEARTBEAT_H
+#define SAVORYLB_SAVORYLBD_HEARTBEAT_H
+
+#include "peer.pb.h"
+
+namespace savorylb {
+
+struct Daemon;
+
+/// Sends heartbeats to some peers without waiting for their replies.
+/// \param everyone to all known peers, such as at the start of a planned stop.
+void sendHeartbeats(Daemon &daemon, bool everyone);
+
+/// Takes in a peer's heartbeat and answers with what this VM knows.
+void answerHeartbeat(Daemon &daemon, const peer::HeartbeatRequest &request,
+                     peer::HeartbeatReply &reply);
+
+/// Pulls documents of which peers hold higher revisions.
+void pullNewerDocuments(Daemon &daemon);
+
+/// Asks the successor for a lease, and looks for proof of death of the
+/// successor and of the VM that this one may take over.
+void renewOwnLease(Daemon &daemon);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_HEARTBEAT_H
--- /dev/null
+++ b/src/savorylbd/ledger_shards.h
@@ -0,0 +1,85 @@
+#ifndef SAVORYLB_SAVORYLBD_LEDGER_SHARDS_H
+#define SAVORYLB_SAVORYLBD_LEDGER_SHARDS_H
+
+#include "savorylb/once_ledger.h"
+#include "savorylb/zone_document.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace savorylb {
+
+struct Daemon;
+
+/// One ledger partition of the own zone.
+struct LedgerShard {
+  std::mutex Lock;
+  OncePartition Own;
+  /// Copies for the VMs that name this one as their successor.
+  std::map<VmId, OncePartition> Replicas;
+  /// Entries sent ahead by a VM that hands this partition off.
+  std::map<VmId, OncePartition> Incoming;
+};
+
+/// The ledger of the own zone.
+struct LedgerShards {
+  std::array<LedgerShard, PartitionCount> Partitions;
+  std::mutex Lock;
+  /// Successor that holds a complete copy of this VM's entries.
+  VmId SyncedWith;
+  Incarnation SyncedLife;
+  /// Successor that is being brought up to date.
+  VmId SyncingWith;
+  std::string SyncingEndpoint;
+  /// VMs whose complete copy is held here, with their incarnation.
+  std::map<VmId, Incarnation> CompleteReplicas;
+};
+
+/// What a forwarding VM asks a home VM.
+struct OnceQuery {
+  RequestId Identity;
+  int Partition = 0;
+  std::string Digest;
+  TeamId Team;
+  Duration Remaining{};
+};
+
+/// Registers a request at this VM when it is the home.
+BeginResult beginAtHome(Daemon &daemon, const OnceQuery &query);
+
+/// Records an outcome at this VM when it is the home.
+bool finishAtHome(Daemon &daemon, const RequestId &identity, int partition,
+                  std::uint64_t number, const std::string &outcome,
+                  StoredAnswer answer);
+
+/// Stores an entry of a VM that names this one as successor.
+void storeReplica(Daemon &daemon, const VmId &holder, int partition,
+                  const OnceEntry &entry, bool removed);
+
+/// Copies all own entries to a VM before it is named successor.
+/// \returns false when the copy is not complete.
+bool syncReplica(Daemon &daemon, const VmId &successor, const Incarnation &life,
+                 const std::string &endpoint);
+
+/// Brings the named successor up to date when it has no complete copy.
+void ensureReplica(Daemon &daemon);
+
+/// Sends a partition's entries to the VM it is handed to.
+bool sendPartition(Daemon &daemon, int partition, const std::string &endpoint);
+
+/// Brings the ledger in line with a newer owner map.
+/// \param daemon the daemon.
+/// \param before partitions owned before.
+/// \param doc the newer owner map.
+/// \param previous the owner map before, to find whose replica to use.
+void applyPartitions(Daemon &daemon, const std::set<int> &before,
+                     const ZoneDocument &doc, const ZoneDocument &previous);
+
+/// Expires overdue entries.
+void tickLedger(Daemon &daemon);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_LEDGER_SHARDS_H
--- /dev/null
+++ b/src/savorylbd/peer_calls.h
@@ -0,0 +1,75 @@
+#ifndef SAVORYLB_SAVORYLBD_PEER_CALLS_H
+#define SAVORYLB_SAVORYLBD_PEER_CALLS_H
+
+#include "ledger_shards.h"
+#include "peer.grpc.pb.h"
+#include "savorylb/vm_view.h"
+#include "service_shard.h"
+
+#include <string>
+
+namespace savorylb {
+
+struct Daemon;
+
+/// A VM to call.
+struct PeerAddress {
+  VmId Vm;
+  std::string Endpoint;
+};
+
+/// \returns false when the peer could not be reached in time.
+bool callHeartbeat(Daemon &daemon, const PeerAddress &peer,
+                   const peer::HeartbeatRequest &request,
+                   peer::HeartbeatReply &reply);
+bool callRenew(Daemon &daemon, const PeerAddress &peer,
+               const peer::RenewRequest &request, peer::RenewReply &reply);
+
+/// Asks a peer for tokens.
+/// \returns what it lent, zero also when it could not be reached.
+MicroTokens callBorrow(Daemon &daemon, const PeerAddress &peer,
+                       const TeamId &team, MicroTokens wanted,
+                       Duration patience);
+
+/// Asks an owner for a slot.
+SlotAnswer callAcquire(Daemon &daemon, const PeerAddress &peer,
+                       const SlotQuery &query);
+
+/// Returns a slot without waiting for the reply.
+void sendRelease(Daemon &daemon, const PeerAddress &peer,
+                 const TargetId &target, std::uint64_t number,
+                 SlotResult result, Duration took);
+
+/// Result of registering a request at another VM.
+struct RemoteBegin {
+  /// The reply arrived.
+  bool Reached = false;
+  /// The request may have been registered although no reply arrived.
+  bool MayHaveBegun = false;
+  BeginResult Begin;
+};
+RemoteBegin callBegin(Daemon &daemon, const PeerAddress &peer,
+                      const ZoneId &zone, const OnceQuery &query);
+
+/// Reports an outcome to the home VM; tried again until it is recorded or the
+/// home's own deadline has made it unknown.
+void sendFinish(Daemon &daemon, const PeerAddress &peer, const ZoneId &zone,
+                int partition, const RequestId &identity, std::uint64_t number,
+                const std::string &outcome, const StoredAnswer &answer);
+
+bool callReplicate(Daemon &daemon, const PeerAddress &peer, int partition,
+                   const OnceEntry &entry, bool removed);
+bool callTransfer(Daemon &daemon, const PeerAddress &peer,
+                  const peer::TransferPartitionRequest &request);
+
+/// Reads a document that a peer holds.
+bool callGetDocument(Daemon &daemon, const PeerAddress &peer,
+                     const std::string &key, peer::GetDocumentReply &reply);
+
+/// \returns true when nothing listens at an endpoint, which proves that the
+/// process that listened there is gone.
+bool refusesConnections(const std::string &endpoint);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_PEER_CALLS_H
--- /dev/null
+++ b/src/savorylbd/peer_directory.cpp
@@ -0,0 +1,142 @@
+#include "peer_directory.h"
+
+#include "daemon.h"
+#include "savorylb/clock.h"
+#include "savorylb/event_log.h"
+
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+#include <grpcpp/support/channel_arguments.h>
+
+namespace savorylb {
+namespace {
+
+constexpr int CircuitFailures = 3;
+constexpr Duration CircuitPause = Seconds(1);
+constexpr Duration ForgetAfter = Seconds(60);
+constexpr Duration StoreContactLimit = Seconds(3);
+
+std::shared_ptr<PeerStub> makeStub(const std::string &endpoint) {
+  grpc::ChannelArguments args;
+  // A silent connection is found within 2 s.
+  args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 1000);
+  args.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 1000);
+  args.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  // A peer that came back is found again at once.
+  args.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  args.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
+  args.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 300);
+  // A retry inside the library could run a call twice.
+  args.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  auto channel = grpc::CreateCustomChannel(
+      endpoint, grpc::InsecureChannelCredentials(), args);
+  return peer::Peer::NewStub(channel);
+}
+
+VmView ownView(Daemon &daemon) {
+  VmView view;
+  view.Name = daemon.Conf.Vm;
+  view.Life = daemon.Life;
+  view.Zone = daemon.Conf.Zone;
+  view.Region = daemon.Conf.Region;
+  view.PeerEndpoint = ownPeerEndpoint(daemon);
+  view.CallerEndpoint = ownCallerEndpoint(daemon);
+  view.Departing = daemon.Departing;
+  view.AsOf = monoNow();
+  view.Loads = publishedLoads(daemon);
+  view.Tokens = tokenLevels(daemon);
+  std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+  view.StoreContactAt = daemon.Documents.StoreContactAt;
+  view.StoreContact = daemon.Documents.StoreReachable &&
+                      view.AsOf - view.StoreContactAt <= StoreContactLimit;
+  return view;
+}
+
+} // namespace
+
+std::shared_ptr<PeerStub> stubFor(Daemon &daemon, const std::string &endpoint) {
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  std::shared_ptr<PeerStub> &stub = daemon.Peers.Stubs[endpoint];
+  if (!stub)
+    stub = makeStub(endpoint);
+  return stub;
+}
+
+VmViews knownVms(Daemon &daemon) {
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  return daemon.Peers.Current;
+}
+
+void mergeView(Daemon &daemon, VmView view) {
+  if (view.Name == daemon.Conf.Vm || view.Name.empty())
+    return;
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  auto [it, added] = daemon.Peers.Vms.try_emplace(view.Name);
+  VmView &held = it->second;
+  if (!added && view.AsOf <= held.AsOf)
+    return;
+  view.CallFailures = held.CallFailures;
+  view.RetryAt = held.RetryAt;
+  view.StoreContactAt = std::max(view.StoreContactAt, held.StoreContactAt);
+  // A departing process stays departing; only a new one is live again.
+  if (!added && held.Life == view.Life)
+    view.Departing = view.Departing || held.Departing;
+  held = std::move(view);
+}
+
+void noteCall(Daemon &daemon, const VmId &vm, bool reached) {
+  bool down = false;
+  bool up = false;
+  {
+    std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+    auto it = daemon.Peers.Vms.find(vm);
+    if (it == daemon.Peers.Vms.end())
+      return;
+    VmView &view = it->second;
+    if (reached) {
+      up = view.CallFailures >= CircuitFailures;
+      view.CallFailures = 0;
+      view.RetryAt = MonoTime{};
+    } else {
+      view.CallFailures += 1;
+      down = view.CallFailures == CircuitFailures;
+      if (view.CallFailures >= CircuitFailures)
+        view.RetryAt = monoNow() + CircuitPause;
+    }
+  }
+  if (down || up)
+    logEvent(up ? EventCode::PeerUp : EventCode::PeerDown,
+             {{"peer", vm.Value}});
+}
+
+void refreshViews(Daemon &daemon) {
+  VmView own = ownView(daemon);
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  auto next = std::make_shared<std::vector<VmView>>();
+  next->reserve(daemon.Peers.Vms.size() + 1);
+  for (const auto &[name, view] : daemon.Peers.Vms) {
+    next->push_back(view);
+    if (daemon.Peers.ListedDeparting.count(name))
+      next->back().Departing = true;
+  }
+  own.Departing =
+      own.Departing || daemon.Peers.ListedDeparting.count(daemon.Conf.Vm) > 0;
+  next->push_back(std::move(own));
+  daemon.Peers.Current = next;
+}
+
+std::string peerEndpoint(Daemon &daemon, const VmId &vm) {
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  auto it = daemon.Peers.Vms.find(vm);
+  return it == daemon.Peers.Vms.end() ? "" : it->second.PeerEndpoint;
+}
+
+void forgetSilentVms(Daemon &daemon) {
+  MonoTime now = monoNow();
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  auto &vms = daemon.Peers.Vms;
+  for (auto it = vms.begin(); it != vms.end();)
+    it = now - it->second.AsOf > ForgetAfter ? vms.erase(it) : std::next(it);
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/peer_directory.h
@@ -0,0 +1,62 @@
+#ifndef SAVORYLB_SAVORYLBD_PEER_DIRECTORY_H
+#define SAVORYLB_SAVORYLBD_PEER_DIRECTORY_H
+
+#include "peer.grpc.pb.h"
+#include "savorylb/vm_view.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace savorylb {
+
+struct Daemon;
+
+using PeerStub = peer::Peer::Stub;
+using VmViews = std::shared_ptr<const std::vector<VmView>>;
+
+/// What this daemon knows of all VMs, itself included.
+struct PeerDirectory {
+  std::mutex Lock;
+  std::map<VmId, VmView> Vms;
+  /// Copy that requests read without holding the lock.
+  VmViews Current = std::make_shared<std::vector<VmView>>();
+  std::map<std::string, std::shared_ptr<PeerStub>> Stubs;
+  /// VMs that the platform's list calls departing.
+  std::set<VmId> ListedDeparting;
+  /// Peer endpoints of the platform's list.
+  std::map<VmId, std::string> ListedEndpoints;
+  std::uint64_t ListVersion = 0;
+  /// Peers that hold a higher revision of a document than this VM.
+  std::map<std::string, VmId> NewerAt;
+  /// When each VM of the platform's list was last listed.
+  std::map<VmId, MonoTime> LastListed;
+};
+
+/// \returns the stub for an endpoint, made when needed.
+std::shared_ptr<PeerStub> stubFor(Daemon &daemon, const std::string &endpoint);
+
+/// \returns all known VMs as of the last tick.
+VmViews knownVms(Daemon &daemon);
+
+/// Takes in what is known of a VM when it is newer than the own knowledge.
+void mergeView(Daemon &daemon, VmView view);
+
+/// Counts a failed call to a VM; three in a row open its circuit for 1 s.
+void noteCall(Daemon &daemon, const VmId &vm, bool reached);
+
+/// Rebuilds the copy that requests read, with this VM's own figures.
+void refreshViews(Daemon &daemon);
+
+/// \returns the peer endpoint of a VM, empty when unknown.
+std::string peerEndpoint(Daemon &daemon, const VmId &vm);
+
+/// Drops VMs not heard of for a minute.
+void forgetSilentVms(Daemon &daemon);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_PEER_DIRECTORY_H
--- /dev/null
+++ b/src/savorylbd/request_flow.cpp
@@ -0,0 +1,275 @@
+#include "request_flow.h"
+
+#include "request_once.h"
+#include "request_place.h"
+#include "savorylb/clock.h"
+#include "savorylb/digest.h"
+#include "savorylb/event_log.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace savorylb {
+namespace {
+
+constexpr int MaxAttempts = 3;
+constexpr Duration LongestBorrow = Millis(50);
+
+Refusal refuse(int status, const std::string &reason,
+               const std::string &detail = "", Duration retryAfter = {}) {
+  Refusal refusal;
+  refusal.Status = status;
+  refusal.Reason = reason;
+  refusal.Detail = detail;
+  refusal.RetryAfter = retryAfter;
+  return refusal;
+}
+
+bool isOnce(const RequestContext &context) {
+  return context.Service->Mode == Execution::AtMostOnce;
+}
+
+/// The key may have been revoked while the request waited.
+bool keyStillValid(const RequestContext &context) {
+  if (context.KeyDigest.empty())
+    return true;
+  SnapshotPtr latest = currentSnapshot(context.Owner);
+  std::optional<TeamId> team = teamOfKey(latest->Keys, context.KeyDigest);
+  return team && *team == context.Team;
+}
+
+SlotResult slotResult(const TargetResponse &response) {
+  if (response.Outcome == TargetOutcome::Done)
+    return SlotResult::Done;
+  if (response.Reason == "shed")
+    return SlotResult::Shed;
+  if (response.Reason == "timeout")
+    return SlotResult::TimedOut;
+  // The caller's leaving says nothing about the target.
+  if (response.Reason == "cancelled" || response.Reason == "caller-gone" ||
+      response.Reason == "request-cut")
+    return SlotResult::Unused;
+  return SlotResult::Failed;
+}
+
+bool countsAsFailure(const TargetResponse &response) {
+  if (response.Outcome == TargetOutcome::Done)
+    return response.Status >= 500;
+  SlotResult result = slotResult(response);
+  return result == SlotResult::Failed || result == SlotResult::TimedOut;
+}
+
+void noteResponseSize(RequestContext &context, std::int64_t bytes) {
+  std::shared_ptr<ServiceShard> shard =
+      serviceShard(context.Owner, context.Service->Name);
+  if (!shard)
+    return;
+  std::lock_guard<std::mutex> guard(shard->Lock);
+  shard->ResponseBytes += (bytes - shard->ResponseBytes) / 16;
+}
+
+TargetResponse sendAttempt(RequestContext &context, const PlacedSlot &slot,
+                           const ResponseSink &sink) {
+  TargetRequest request;
+  request.Address = slot.Grant.Address;
+  request.Method = context.Method;
+  request.Path = context.Path;
+  request.Headers = context.Headers;
+  request.Headers.emplace_back("X-Team", context.Team.Value);
+  request.Nonce = randomHex(8);
+  request.Remaining = std::min(timeLeft(context), context.Service->MaxTime);
+  request.RequireEcho = context.Service->RequireEcho;
+  request.VerifiedConnection = isOnce(context);
+  // An at-most-once request runs to its end, so that a repeat can have the
+  // answer.
+  if (!isOnce(context))
+    request.Cancelled = context.CallerGone;
+  request.BodyLength = context.BodyLength;
+  std::istringstream small(context.SmallBody);
+  request.Body = context.Stream ? context.Stream : &small;
+  if (context.BodyLength == 0)
+    request.Body = nullptr;
+  TargetResponse response = context.Owner.Targets.Send(request, sink);
+  context.TargetTime += response.Took;
+  return response;
+}
+
+bool mayRetry(RequestContext &context, const TargetResponse &response) {
+  bool certain = response.Outcome == TargetOutcome::NotRun;
+  if (!certain && (isOnce(context) || response.Streamed))
+    return false;
+  if (!bodyReplayable(context) && response.SentBytes > 0)
+    return false;
+  if (response.Reason == "cancelled" || response.Reason == "caller-gone" ||
+      timeLeft(context) == Duration(0))
+    return false;
+  std::shared_ptr<ServiceShard> shard =
+      serviceShard(context.Owner, context.Service->Name);
+  if (!shard)
+    return false;
+  std::lock_guard<std::mutex> guard(shard->Lock);
+  return spendRetry(shard->Retries);
+}
+
+Refusal refusalOf(const TargetResponse &response) {
+  bool notRun = response.Outcome == TargetOutcome::NotRun;
+  Refusal refusal;
+  refusal.NotRun = notRun;
+  refusal.Reason = notRun ? "target-" + response.Reason : response.Reason;
+  if (notRun)
+    refusal.Status = 503;
+  else
+    refusal.Status = response.Reason == "timeout" ? 504 : 502;
+  return refusal;
+}
+
+void logRetry(const RequestContext &context, const PlacedSlot &slot,
+              const TargetResponse &response) {
+  logEvent(EventCode::RequestRetried, {{"trace", context.Trace},
+                                       {"target", slot.Grant.Target.Value},
+                                       {"reason", response.Reason}});
+}
+
+void logRejected(const RequestContext &context, const PlacedSlot &slot,
+                 const TargetResponse &response) {
+  if (response.Outcome == TargetOutcome::Unknown)
+    logEvent(EventCode::ResponseRejected, {{"trace", context.Trace},
+                                           {"target", slot.Grant.Target.Value},
+                                           {"reason", response.Reason},
+                                           {"status", response.Status}});
+}
+
+/// Finds a slot of a version that is still allowed.
+Placement placeAllowed(RequestContext &context, const TargetId &avoid) {
+  VersionId version =
+      versionFor(context.Owner, context.Service->Name, context.Route);
+  Placement placed = placeAttempt(context, version, avoid);
+  if (!placed.Slot)
+    return placed;
+  // The version may have been stopped while the request waited in a queue.
+  if (versionStopped(context.Owner, context.Service->Name,
+                     placed.Slot->Grant.Version)) {
+    releasePlaced(context, *placed.Slot, SlotResult::Unused, {}, 0);
+    version = versionFor(context.Owner, context.Service->Name, context.Route);
+    placed = placeAttempt(context, version, avoid);
+  }
+  return placed;
+}
+
+RequestResult runAttempts(RequestContext &context, const ResponseSink &sink) {
+  RequestResult result;
+  TargetId avoid;
+  for (int attempt = 1;; ++attempt) {
+    Placement placed = placeAllowed(context, avoid);
+    if (!placed.Slot) {
+      // An attempt before may have run; its outcome stands.
+      if (!result.Refused)
+        result.Refused = refuse(503, placed.Reason, "", placed.RetryAfter);
+      return result;
+    }
+    const PlacedSlot &slot = *placed.Slot;
+    if (!keyStillValid(context)) {
+      releasePlaced(context, slot, SlotResult::Unused, {}, 0);
+      if (!result.Refused)
+        result.Refused = refuse(401, "unknown-key");
+      return result;
+    }
+    TargetResponse response = sendAttempt(context, slot, sink);
+    releasePlaced(context, slot, slotResult(response), response.Took,
+                  response.SentBytes + response.BodyBytes);
+    observeRequest(context.Owner, context.Service->Name, context.Route,
+                   slot.Grant.Version, countsAsFailure(response),
+                   response.Took);
+    result.Target = slot.Grant.Target;
+    result.Version = slot.Grant.Version;
+    if (response.Outcome == TargetOutcome::Done) {
+      noteResponseSize(context, response.BodyBytes);
+      result.Refused.reset();
+      result.Response = std::move(response);
+      return result;
+    }
+    logRejected(context, slot, response);
+    // One uncertain attempt makes the whole outcome uncertain.
+    bool wasUncertain = result.Refused && !result.Refused->NotRun;
+    if (!wasUncertain)
+      result.Refused = refusalOf(response);
+    if (response.Streamed) {
+      result.Response = std::move(response);
+      return result;
+    }
+    if (attempt >= MaxAttempts || !mayRetry(context, response))
+      return result;
+    logRetry(context, slot, response);
+    avoid = slot.Grant.Target;
+  }
+}
+
+bool admit(RequestContext &context, RequestResult &result) {
+  Duration retryAfter{};
+  Duration patience = std::min(LongestBorrow, timeLeft(context) / 10);
+  if (admitRequest(context.Owner, context.Team, patience, retryAfter))
+    return true;
+  result.Refused = refuse(429, "rate", "the team is over its rate", retryAfter);
+  return false;
+}
+
+StoredAnswer toStored(const TargetResponse &response) {
+  StoredAnswer answer;
+  answer.Status = response.Status;
+  answer.Headers = response.Headers;
+  answer.BodyKept = !response.Streamed && response.Body.size() <= MaxStoredBody;
+  if (answer.BodyKept)
+    answer.Body = response.Body;
+  return answer;
+}
+
+TargetResponse fromStored(StoredAnswer answer) {
+  TargetResponse response;
+  response.Outcome = TargetOutcome::Done;
+  response.Status = answer.Status;
+  response.Headers = std::move(answer.Headers);
+  response.Body = std::move(answer.Body);
+  response.BodyBytes = static_cast<std::int64_t>(response.Body.size());
+  return response;
+}
+
+RequestResult runOnce(RequestContext &context, const ResponseSink &sink) {
+  RequestResult result;
+  OnceStart start = startOnce(context);
+  if (start.Answer) {
+    result.Response = fromStored(std::move(*start.Answer));
+    result.Repeated = true;
+    return result;
+  }
+  if (!start.Permit) {
+    result.Refused = start.Refused;
+    return result;
+  }
+  if (admit(context, result))
+    result = runAttempts(context, sink);
+  bool done = result.Response && !result.Refused;
+  bool notRun = result.Refused && result.Refused->NotRun;
+  endOnce(context, *start.Permit,
+          done ? "done" : (notRun ? "not_run" : "unknown"),
+          done ? toStored(*result.Response) : StoredAnswer{});
+  return result;
+}
+
+} // namespace
+
+RequestResult runRequest(RequestContext &context, const ResponseSink &sink) {
+  std::shared_ptr<ServiceShard> shard =
+      serviceShard(context.Owner, context.Service->Name);
+  if (shard) {
+    std::lock_guard<std::mutex> guard(shard->Lock);
+    earnRetry(shard->Retries);
+  }
+  if (isOnce(context))
+    return runOnce(context, sink);
+  RequestResult result;
+  if (admit(context, result))
+    result = runAttempts(context, sink);
+  return result;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/request_place.h
@@ -0,0 +1,40 @@
+#ifndef SAVORYLB_SAVORYLBD_REQUEST_PLACE_H
+#define SAVORYLB_SAVORYLBD_REQUEST_PLACE_H
+
+#include "peer_calls.h"
+#include "request_context.h"
+
+#include <optional>
+
+namespace savorylb {
+
+/// A slot for one attempt, and who lent it.
+struct PlacedSlot {
+  SlotGrant Grant;
+  PeerAddress Owner;
+  RegionId Region;
+  bool OtherRegion = false;
+  std::int64_t ReservedBytes = 0;
+};
+
+/// Result of looking for a slot.
+struct Placement {
+  std::optional<PlacedSlot> Slot;
+  std::string Reason;
+  Duration RetryAfter{};
+};
+
+/// Looks for a slot: at once where one is free, else in the queue of an owner.
+/// \param context the request.
+/// \param version wanted version, empty for any.
+/// \param avoid target of the attempt before.
+Placement placeAttempt(RequestContext &context, const VersionId &version,
+                       const TargetId &avoid);
+
+/// Returns the slot and settles the link budget.
+void releasePlaced(RequestContext &context, const PlacedSlot &slot,
+                   SlotResult result, Duration took, std::int64_t bytes);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_REQUEST_PLACE_H
--- /dev/null
+++ b/src/savorylbd/rollout_shards.cpp
@@ -0,0 +1,149 @@
+#include "rollout_shards.h"
+
+#include "daemon.h"
+#include "savorylb/clock.h"
+#include "savorylb/event_log.h"
+#include "savorylb/metrics.h"
+
+namespace savorylb {
+namespace {
+
+std::vector<std::shared_ptr<RolloutShard>> allRollouts(Daemon &daemon) {
+  std::lock_guard<std::mutex> guard(daemon.Rollouts.Lock);
+  std::vector<std::shared_ptr<RolloutShard>> shards;
+  for (const auto &[service, shard] : daemon.Rollouts.Services)
+    shards.push_back(shard);
+  return shards;
+}
+
+std::string recordKey(const ServiceId &service) {
+  return RolloutsPrefix + service.Value;
+}
+
+void logPhase(const RolloutRecord &record) {
+  EventCode code = EventCode::RolloutStepped;
+  if (record.Phase == RolloutPhase::TakenBack)
+    code = EventCode::RolloutTakenBack;
+  else if (record.Phase == RolloutPhase::Done)
+    code = EventCode::RolloutDone;
+  else if (record.Phase == RolloutPhase::Late)
+    code = EventCode::RolloutLate;
+  logEvent(code, {{"rollout", record.Name.Value},
+                  {"service", record.Service.Value},
+                  {"share_ppm", record.Share.Value},
+                  {"proven", record.Proven},
+                  {"reason", record.Reason}});
+}
+
+/// Writes a record; another VM may have been first, which is as good.
+void writeRecord(Daemon &daemon, const RolloutRecord &record) {
+  std::string key = recordKey(record.Service);
+  CachedDocument held = heldDocument(daemon, key);
+  Result<void> written = daemon.Store.CompareAndSwap(
+      key, formatRolloutRecord(record), held.StoreIndex);
+  Result<StoreValue> value = daemon.Store.Get(key);
+  if (value)
+    offerDocument(daemon, key, value.value().Content, value.value().ModifyIndex,
+                  DocumentSource::Store);
+  if (written)
+    logPhase(record);
+}
+
+} // namespace
+
+std::shared_ptr<RolloutShard> rolloutOf(Daemon &daemon,
+                                        const ServiceId &service) {
+  std::lock_guard<std::mutex> guard(daemon.Rollouts.Lock);
+  auto it = daemon.Rollouts.Services.find(service);
+  return it == daemon.Rollouts.Services.end() ? nullptr : it->second;
+}
+
+void applyRollouts(Daemon &daemon, const Config &config) {
+  std::map<ServiceId, std::shared_ptr<RolloutShard>> next;
+  for (const RolloutSpec &spec : config.Rollouts) {
+    std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, spec.Service);
+    bool same = shard && shard->State.Spec.Name == spec.Name;
+    if (!same) {
+      shard = std::make_shared<RolloutShard>();
+      shard->State.Record.Name = spec.Name;
+      shard->State.Record.Service = spec.Service;
+      CachedDocument held = heldDocument(daemon, recordKey(spec.Service));
+      if (!held.Content.empty()) {
+        Result<RolloutRecord> record = parseRolloutRecord(held.Content);
+        if (record && record.value().Name == spec.Name)
+          adoptRecord(shard->State, record.value());
+      }
+    }
+    {
+      std::lock_guard<std::mutex> guard(shard->Lock);
+      shard->State.Spec = spec;
+    }
+    next[spec.Service] = shard;
+  }
+  std::lock_guard<std::mutex> guard(daemon.Rollouts.Lock);
+  daemon.Rollouts.Services = std::move(next);
+}
+
+void applyRolloutRecord(Daemon &daemon, const RolloutRecord &record) {
+  std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, record.Service);
+  if (!shard)
+    return;
+  std::lock_guard<std::mutex> guard(shard->Lock);
+  if (shard->State.Spec.Name == record.Name)
+    adoptRecord(shard->State, record);
+}
+
+VersionId versionFor(Daemon &daemon, const ServiceId &service,
+                     const RouteId &route) {
+  std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, service);
+  if (!shard)
+    return VersionId();
+  std::lock_guard<std::mutex> guard(shard->Lock);
+  return chooseVersion(shard->State, route);
+}
+
+bool versionStopped(Daemon &daemon, const ServiceId &service,
+                    const VersionId &version) {
+  std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, service);
+  if (!shard || version.empty())
+    return false;
+  std::lock_guard<std::mutex> guard(shard->Lock);
+  const Rollout &rollout = shard->State;
+  bool takenBack = rollout.Record.Phase == RolloutPhase::TakenBack;
+  return version == rollout.Spec.To && (rollout.Stopped || takenBack);
+}
+
+void observeRequest(Daemon &daemon, const ServiceId &service,
+                    const RouteId &route, const VersionId &version, bool failed,
+                    Duration took) {
+  std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, service);
+  if (!shard)
+    return;
+  std::string reason;
+  {
+    std::lock_guard<std::mutex> guard(shard->Lock);
+    if (!observeResult(shard->State, route, version, failed, took))
+      return;
+    reason = shard->State.StopReason;
+  }
+  countEvent("rollouts_stopped");
+  logEvent(EventCode::RolloutStopped, {{"service", service.Value},
+                                       {"route", route.Value},
+                                       {"version", version.Value},
+                                       {"reason", reason}});
+}
+
+void runRolloutStep(Daemon &daemon) {
+  WallTime now = wallNow();
+  for (const auto &shard : allRollouts(daemon)) {
+    std::optional<RolloutRecord> next;
+    {
+      std::lock_guard<std::mutex> guard(shard->Lock);
+      next = planRollout(shard->State, now);
+    }
+    if (next)
+      writeRecord(daemon, *next);
+  }
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/rollout_shards.h
@@ -0,0 +1,56 @@
+#ifndef SAVORYLB_SAVORYLBD_ROLLOUT_SHARDS_H
+#define SAVORYLB_SAVORYLBD_ROLLOUT_SHARDS_H
+
+#include "savorylb/config.h"
+#include "savorylb/rollout.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace savorylb {
+
+struct Daemon;
+
+/// The rollout of one service on this VM.
+struct RolloutShard {
+  std::mutex Lock;
+  Rollout State;
+};
+
+/// Rollouts by service.
+struct RolloutShards {
+  std::mutex Lock;
+  std::map<ServiceId, std::shared_ptr<RolloutShard>> Services;
+};
+
+/// \returns the rollout of a service, or null.
+std::shared_ptr<RolloutShard> rolloutOf(Daemon &daemon,
+                                        const ServiceId &service);
+
+/// Brings rollouts in line with a newer configuration.
+void applyRollouts(Daemon &daemon, const Config &config);
+
+/// Adopts a newer record from the store.
+void applyRolloutRecord(Daemon &daemon, const RolloutRecord &record);
+
+/// Chooses the version of a request; empty when the service has no rollout.
+VersionId versionFor(Daemon &daemon, const ServiceId &service,
+                     const RouteId &route);
+
+/// \returns true when a version must not get new requests.
+bool versionStopped(Daemon &daemon, const ServiceId &service,
+                    const VersionId &version);
+
+/// Records how a request ended.
+void observeRequest(Daemon &daemon, const ServiceId &service,
+                    const RouteId &route, const VersionId &version, bool failed,
+                    Duration took);
+
+/// Writes the records that are due, by compare-and-swap.
+void runRolloutStep(Daemon &daemon);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_ROLLOUT_SHARDS_H
--- /dev/null
+++ b/src/savorylbd/store_watch.cpp
@@ -0,0 +1,92 @@
+#include "store_watch.h"
+
+#include "daemon.h"
+#include "savorylb/clock.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace savorylb {
+namespace {
+
+/// A waiting watch is renewed this often, which also confirms that the store
+/// can be reached and bounds the age of the keys.
+constexpr Duration WatchWait = Seconds(2);
+constexpr Duration FirstBackoff = Millis(100);
+constexpr Duration LongestBackoff = Seconds(2);
+
+/// Daemons that lost the store together must not come back together.
+Duration jittered(Duration span) {
+  static thread_local std::mt19937_64 Random(std::random_device{}());
+  std::uniform_int_distribution<std::int64_t> spread(span.count() / 2,
+                                                     span.count());
+  return Duration(spread(Random));
+}
+
+void sleepUnlessStopping(Daemon &daemon, Duration span) {
+  MonoTime until = monoNow() + span;
+  while (!daemon.Stopping && monoNow() < until)
+    std::this_thread::sleep_for(std::min<Duration>(span, Millis(50)));
+}
+
+void offerListing(Daemon &daemon, const StoreListing &listing) {
+  // The configuration comes first: the other documents refer to it.
+  auto config = listing.Values.find(ConfigKey);
+  if (config != listing.Values.end())
+    offerDocument(daemon, ConfigKey, config->second.Content,
+                  config->second.ModifyIndex, DocumentSource::Store);
+  for (const auto &[key, value] : listing.Values)
+    if (key != ConfigKey)
+      offerDocument(daemon, key, value.Content, value.ModifyIndex,
+                    DocumentSource::Store);
+}
+
+} // namespace
+
+void watchStore(Daemon &daemon) {
+  std::uint64_t index = 0;
+  Duration backoff = FirstBackoff;
+  while (!daemon.Stopping) {
+    Result<StoreListing> listing =
+        daemon.Store.List(DocumentPrefix, index, WatchWait);
+    noteStoreContact(daemon, listing.has_value());
+    if (!listing) {
+      index = 0;
+      sleepUnlessStopping(daemon, jittered(backoff));
+      backoff = std::min(backoff * 2, LongestBackoff);
+      continue;
+    }
+    backoff = FirstBackoff;
+    // A store that was restored counts from a lower index again.
+    index = listing.value().Index < index ? 0 : listing.value().Index;
+    offerListing(daemon, listing.value());
+    if (index == 0)
+      sleepUnlessStopping(daemon, jittered(Millis(500)));
+  }
+}
+
+void pollVmList(Daemon &daemon) {
+  if (!daemon.VmList.Read)
+    return;
+  Result<VmListing> listing = daemon.VmList.Read();
+  if (!listing)
+    return;
+  MonoTime now = monoNow();
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  PeerDirectory &peers = daemon.Peers;
+  // A lagging list must not undo what a newer one said.
+  if (listing.value().Version < peers.ListVersion)
+    return;
+  peers.ListVersion = listing.value().Version;
+  peers.ListedDeparting.clear();
+  peers.ListedEndpoints.clear();
+  for (const ListedVm &it : listing.value().Vms) {
+    if (it.Departing)
+      peers.ListedDeparting.insert(it.Name);
+    peers.ListedEndpoints[it.Name] = it.Address;
+    peers.LastListed[it.Name] = now - listing.value().Age;
+  }
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/store_watch.h
@@ -0,0 +1,16 @@
+#ifndef SAVORYLB_SAVORYLBD_STORE_WATCH_H
+#define SAVORYLB_SAVORYLBD_STORE_WATCH_H
+
+namespace savorylb {
+
+struct Daemon;
+
+/// Watches the store until the daemon stops; runs in its own thread.
+void watchStore(Daemon &daemon);
+
+/// Reads the platform's VM list once.
+void pollVmList(Daemon &daemon);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_STORE_WATCH_H
--- /dev/null
+++ b/src/savorylbd/target_probes.cpp
@@ -0,0 +1,65 @@
+#include "target_probes.h"
+
+#include "daemon.h"
+#include "savorylb/clock.h"
+#include "savorylb/event_log.h"
+#include "savorylb/hash.h"
+
+#include <vector>
+
+namespace savorylb {
+namespace {
+
+struct ProbeJob {
+  std::shared_ptr<ServiceShard> Shard;
+  TargetSpec Spec;
+};
+
+std::vector<ProbeJob> jobsOf(Daemon &daemon, int worker, int workers) {
+  std::vector<ProbeJob> jobs;
+  std::shared_lock<std::shared_mutex> guard(daemon.Services.Lock);
+  for (const auto &[name, shard] : daemon.Services.Services) {
+    std::lock_guard<std::mutex> inner(shard->Lock);
+    for (const auto &[target, owned] : shard->Slots.Targets) {
+      auto slot = stableHash(target.Value) % static_cast<unsigned>(workers);
+      if (static_cast<int>(slot) == worker)
+        jobs.push_back({shard, owned.Spec});
+    }
+  }
+  return jobs;
+}
+
+/// \returns true when the target's state changed.
+bool record(ServiceShard &shard, const TargetId &target, bool healthy) {
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  auto it = shard.Slots.Targets.find(target);
+  if (it == shard.Slots.Targets.end())
+    return false;
+  bool before = it->second.Healthy;
+  applyHealth(shard.Slots, target, healthy, monoNow());
+  return it->second.Healthy != before;
+}
+
+} // namespace
+
+void probeTargets(Daemon &daemon, int worker, int workers) {
+  for (const ProbeJob &it : jobsOf(daemon, worker, workers)) {
+    if (daemon.Stopping)
+      return;
+    Result<bool> health = daemon.Targets.ProbeHealth(it.Spec.Address);
+    bool healthy = health && health.value();
+    if (record(*it.Shard, it.Spec.Name, healthy))
+      logEvent(healthy ? EventCode::TargetUp : EventCode::TargetDown,
+               {{"target", it.Spec.Name.Value},
+                {"reason", health ? "probe" : health.error().Message}});
+    if (!health)
+      continue;
+    Result<LoadReport> load = daemon.Targets.ReadLoad(it.Spec.Address);
+    if (!load)
+      continue;
+    std::lock_guard<std::mutex> guard(it.Shard->Lock);
+    applyLoadReport(it.Shard->Slots, it.Spec.Name, load.value(), monoNow());
+  }
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/team_shards.cpp
@@ -0,0 +1,186 @@
+#include "team_shards.h"
+
+#include "daemon.h"
+#include "peer_calls.h"
+#include "savorylb/clock.h"
+#include "savorylb/event_log.h"
+#include "savorylb/hash.h"
+#include "savorylb/metrics.h"
+
+#include <algorithm>
+
+namespace savorylb {
+namespace {
+
+/// After peers had nothing to lend, how long a team's requests are refused
+/// without asking again; otherwise a team over its rate would cause a call for
+/// each refused request.
+constexpr Duration BorrowPause = Millis(20);
+constexpr std::size_t MaxLendersAsked = 3;
+
+TeamShard &shardOf(Daemon &daemon, const TeamId &team) {
+  return daemon.Teams[stableHash(team.Value) % daemon.Teams.size()];
+}
+
+struct Lender {
+  PeerAddress Address;
+  std::int64_t Tokens = 0;
+};
+
+/// Peers that published tokens of a team, most first; figures count for less
+/// the older they are.
+std::vector<Lender> findLenders(Daemon &daemon, const TeamId &team) {
+  std::vector<Lender> lenders;
+  MonoTime now = monoNow();
+  VmViews vms = knownVms(daemon);
+  for (const VmView &it : *vms) {
+    if (it.Name == daemon.Conf.Vm || now < it.RetryAt ||
+        now - it.AsOf > VmSilenceLimit)
+      continue;
+    auto level = it.Tokens.find(team);
+    if (level == it.Tokens.end())
+      continue;
+    std::int64_t tokens = level->second.Value;
+    bool sameRegion = it.Region == daemon.Conf.Region;
+    lenders.push_back(
+        {{it.Name, it.PeerEndpoint}, sameRegion ? tokens : tokens / 4});
+  }
+  std::sort(
+      lenders.begin(), lenders.end(),
+      [](const Lender &a, const Lender &b) { return a.Tokens > b.Tokens; });
+  if (lenders.size() > MaxLendersAsked)
+    lenders.resize(MaxLendersAsked);
+  return lenders;
+}
+
+MicroTokens wantedTokens(TeamShard &shard, const TeamId &team) {
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  const TokenBucket &bucket = shard.Buckets[team];
+  // A batch for the next 100 ms of demand spares a call for each request.
+  std::int64_t batch = bucket.ForecastPerSecond / 10;
+  return MicroTokens(std::max(OneToken.Value, batch));
+}
+
+bool deposit(Daemon &daemon, TeamShard &shard, const TeamId &team,
+             MicroTokens granted, MonoTime requestedAt) {
+  if (!mayUseOwned(daemon))
+    return false;
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  TokenBucket &bucket = shard.Buckets[team];
+  MonoTime now = monoNow();
+  depositTokens(bucket, granted, requestedAt, now);
+  return takeToken(bucket, now);
+}
+
+/// Asks peers in turn until one token is there.
+bool borrow(Daemon &daemon, TeamShard &shard, const TeamId &team,
+            Duration patience) {
+  MonoTime limit = monoNow() + patience;
+  for (const Lender &it : findLenders(daemon, team)) {
+    MonoTime sentAt = monoNow();
+    if (sentAt >= limit)
+      break;
+    MicroTokens granted = callBorrow(daemon, it.Address, team,
+                                     wantedTokens(shard, team), limit - sentAt);
+    if (granted == MicroTokens(0))
+      continue;
+    countEvent("tokens_borrowed", granted.Value / OneToken.Value);
+    logEvent(EventCode::TokensBorrowed, {{"team", team.Value},
+                                         {"lender", it.Address.Vm.Value},
+                                         {"micro_tokens", granted.Value}});
+    if (deposit(daemon, shard, team, granted, sentAt))
+      return true;
+  }
+  return false;
+}
+
+} // namespace
+
+void applyRates(Daemon &daemon, Ppm share) {
+  SnapshotPtr snapshot = currentSnapshot(daemon);
+  MonoTime now = monoNow();
+  std::set<TeamId> configured;
+  for (const TeamSpec &team : snapshot->Conf.Teams) {
+    configured.insert(team.Name);
+    TeamShard &shard = shardOf(daemon, team.Name);
+    std::lock_guard<std::mutex> guard(shard.Lock);
+    auto [it, added] = shard.Buckets.try_emplace(team.Name);
+    if (added)
+      it->second.Updated = now;
+    setShare(it->second, team.Rate, team.Burst, share, now);
+  }
+  for (TeamShard &shard : daemon.Teams) {
+    std::lock_guard<std::mutex> guard(shard.Lock);
+    for (auto it = shard.Buckets.begin(); it != shard.Buckets.end();)
+      it =
+          configured.count(it->first) ? std::next(it) : shard.Buckets.erase(it);
+  }
+}
+
+bool takeOwnToken(Daemon &daemon, const TeamId &team) {
+  if (!mayUseOwned(daemon))
+    return false;
+  TeamShard &shard = shardOf(daemon, team);
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  auto it = shard.Buckets.find(team);
+  return it != shard.Buckets.end() && takeToken(it->second, monoNow());
+}
+
+bool admitRequest(Daemon &daemon, const TeamId &team, Duration patience,
+                  Duration &retryAfter) {
+  if (takeOwnToken(daemon, team))
+    return true;
+  TeamShard &shard = shardOf(daemon, team);
+  std::unique_lock<std::timed_mutex> turn(shard.BorrowLock, patience);
+  if (turn.owns_lock()) {
+    // Another request of the team may have borrowed for both.
+    if (takeOwnToken(daemon, team))
+      return true;
+    MonoTime &pausedUntil = shard.BorrowPausedUntil[team];
+    if (monoNow() >= pausedUntil) {
+      if (borrow(daemon, shard, team, patience))
+        return true;
+      pausedUntil = monoNow() + BorrowPause;
+    }
+  }
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  auto it = shard.Buckets.find(team);
+  retryAfter = it == shard.Buckets.end() ? Duration(Seconds(1))
+                                         : timeToToken(it->second);
+  return false;
+}
+
+MicroTokens lendToPeer(Daemon &daemon, const TeamId &team, MicroTokens wanted,
+                       const VmId &borrower) {
+  if (!mayUseOwned(daemon))
+    return MicroTokens(0);
+  MicroTokens lent;
+  {
+    TeamShard &shard = shardOf(daemon, team);
+    std::lock_guard<std::mutex> guard(shard.Lock);
+    auto it = shard.Buckets.find(team);
+    if (it == shard.Buckets.end())
+      return MicroTokens(0);
+    lent = lendTokens(it->second, wanted, monoNow());
+  }
+  if (lent > MicroTokens(0))
+    logEvent(EventCode::TokensLent, {{"team", team.Value},
+                                     {"borrower", borrower.Value},
+                                     {"micro_tokens", lent.Value}});
+  return lent;
+}
+
+std::map<TeamId, MicroTokens> tokenLevels(Daemon &daemon) {
+  std::map<TeamId, MicroTokens> levels;
+  MonoTime now = monoNow();
+  for (TeamShard &shard : daemon.Teams) {
+    std::lock_guard<std::mutex> guard(shard.Lock);
+    for (auto &[team, bucket] : shard.Buckets) {
+      refillBucket(bucket, now);
+      levels[team] = bucket.Level;
+    }
+  }
+  return levels;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savorylbd/team_shards.h
@@ -0,0 +1,53 @@
+#ifndef SAVORYLB_SAVORYLBD_TEAM_SHARDS_H
+#define SAVORYLB_SAVORYLBD_TEAM_SHARDS_H
+
+#include "savorylb/ids.h"
+#include "savorylb/token_bucket.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace savorylb {
+
+struct Daemon;
+
+/// Buckets of some teams.
+struct TeamShard {
+  std::mutex Lock;
+  std::map<TeamId, TokenBucket> Buckets;
+  /// One request at a time borrows; the others wait for what it brings.
+  std::timed_mutex BorrowLock;
+  /// Guarded by BorrowLock.
+  std::map<TeamId, MonoTime> BorrowPausedUntil;
+};
+
+using TeamShards = std::array<TeamShard, 8>;
+
+/// Sets all buckets to this VM's share of the teams' limits.
+void applyRates(Daemon &daemon, Ppm share);
+
+/// Takes a token from the own bucket.
+/// \returns false when there is none or this VM may not use its share.
+bool takeOwnToken(Daemon &daemon, const TeamId &team);
+
+/// Takes a token, borrowing from peers when the own bucket is short.
+/// \param daemon the daemon.
+/// \param team the team.
+/// \param patience how long a borrow may take.
+/// \param retryAfter receives the time to the next token when refused.
+/// \returns true when the request is within its team's limits.
+bool admitRequest(Daemon &daemon, const TeamId &team, Duration patience,
+                  Duration &retryAfter);
+
+/// Lends tokens to a peer.
+MicroTokens lendToPeer(Daemon &daemon, const TeamId &team, MicroTokens wanted,
+                       const VmId &borrower);
+
+/// \returns the level of each team's bucket.
+std::map<TeamId, MicroTokens> tokenLevels(Daemon &daemon);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_TEAM_SHARDS_H
