Add the parsers of settings and configuration

The daemon and savoryctl need checked settings and configuration documents that report every mistake with line and path. This adds a field reader over jsoncpp, the settings parser and the configuration parser with templates and checks of cross references.

--- /dev/null
+++ b/src/libsavorylb/config_names.h
@@ -0,0 +1,41 @@
+#ifndef SAVORYLB_LIB_CONFIG_NAMES_H
+#define SAVORYLB_LIB_CONFIG_NAMES_H
+
+#include "json_fields.h"
+
+#include <set>
+#include <string>
+
+namespace savorylb {
+
+/// The names that a configuration defines, gathered before its parts are
+/// read, so that parts may refer to each other in any order.
+struct ConfigNames {
+  std::set<std::string> Regions;
+  std::set<std::string> Zones;
+  std::set<std::string> Sites;
+  std::set<std::string> Services;
+  std::set<std::string> Teams;
+};
+
+/// \param root the whole document; parts of a wrong type are skipped here and
+/// reported when they are read.
+ConfigNames gatherNames(const Json::Value &root);
+
+/// Records a finding when a name is not among the known ones.
+void checkKnown(const JsonSource &source, const Json::Value &at,
+                const std::string &path, const std::string &name,
+                const char *kind, const std::set<std::string> &known);
+
+/// Checks a name field of an object against the known names.
+void checkKnownField(JsonFields &fields, const std::string &field,
+                     const std::string &name, const char *kind,
+                     const std::set<std::string> &known);
+
+/// Records a finding when a name was seen before.
+void checkNew(JsonFields &fields, const std::string &field,
+              const std::string &name, std::set<std::string> &seen);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_LIB_CONFIG_NAMES_H
--- /dev/null
+++ b/src/libsavorylb/json_source.h
@@ -0,0 +1,41 @@
+#ifndef SAVORYLB_LIB_JSON_SOURCE_H
+#define SAVORYLB_LIB_JSON_SOURCE_H
+
+#include "savorylb/finding.h"
+
+#include <cstddef>
+#include <json/value.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savorylb {
+
+/// A JSON text being read, and where its findings go.
+struct JsonSource {
+  std::string File;
+  /// Offset of each line's first character, rising.
+  std::vector<std::ptrdiff_t> LineStarts;
+  Findings *Found = nullptr;
+};
+
+/// \returns a source for a text; findings must outlive it.
+JsonSource makeJsonSource(const std::string &file, const std::string &text,
+                          Findings &findings);
+
+/// Parses JSON with comments; a syntax error or a field that is given twice
+/// becomes a finding.
+/// \returns the value, or nothing after a finding.
+std::optional<Json::Value> parseJson(const JsonSource &source,
+                                     const std::string &text);
+
+/// \returns the line on which a parsed value starts, counted from 1.
+int lineOf(const JsonSource &source, const Json::Value &value);
+
+/// Records a finding at a parsed value.
+void addFinding(const JsonSource &source, const Json::Value &at,
+                const std::string &path, const std::string &message);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_LIB_JSON_SOURCE_H
