Add the configuration commands of savoryctl

Operators need to validate, apply and compare configurations without losing or repeating a change when a response is lost or operators race. StoreClient gets an optional Remove for pruning the history.

--- a/src/include/savorylb/store_client.h
+++ b/src/include/savorylb/store_client.h
@@ -39,6 +39,9 @@
   std::function<Result<void>(const std::string &key, const std::string &value,
                              std::uint64_t expectedIndex)>
       CompareAndSwap;
+  /// Removes a key; a key that does not exist is no error. May be unset in
+  /// clients that never remove.
+  std::function<Result<void>(const std::string &key)> Remove;
 };
 
 } // namespace savorylb
--- /dev/null
+++ b/src/savoryctl/command_result.h
@@ -0,0 +1,27 @@
+#ifndef SAVORYCTL_COMMAND_RESULT_H
+#define SAVORYCTL_COMMAND_RESULT_H
+
+#include "exit_code.h"
+
+#include <json/value.h>
+#include <string>
+
+namespace savorylb {
+
+/// What a command reports.
+struct CommandResult {
+  ExitCode Code = ExitCode::Ok;
+  /// Printed with `--json`.
+  Json::Value Data{Json::objectValue};
+  /// Printed otherwise, one or more lines.
+  std::string Text;
+};
+
+/// \returns a result with a message in both forms.
+CommandResult makeResult(ExitCode code, const std::string &message);
+/// Adds a warning to both forms of a result.
+void addWarning(CommandResult &result, const std::string &warning);
+
+} // namespace savorylb
+
+#endif // SAVORYCTL_COMMAND_RESULT_H
--- /dev/null
+++ b/src/savoryctl/config_commands.cpp
@@ -0,0 +1,157 @@
+#include "config_commands.h"
+
+#include "daemon_status.h"
+#include "history.h"
+#include "json_diff.h"
+#include "json_text.h"
+#include "store_keys.h"
+#include "store_write.h"
+
+#include "savorylb/config.h"
+
+#include <algorithm>
+
+namespace savorylb {
+
+namespace {
+
+Json::Value withoutRevision(const std::string &text) {
+  Result<Json::Value> value = parseText(text);
+  if (!value || !value.value().isObject())
+    return Json::Value(Json::objectValue);
+  value.value().removeMember("revision");
+  return value.value();
+}
+
+// The document as the store gets it: without comments, since daemons and
+// savoryctl rewrite it, and with the given revision.
+std::string withRevision(Json::Value document, Revision rev) {
+  document["revision"] = Json::Int64(rev.Value);
+  return writeCompact(document);
+}
+
+CommandResult conflictResult(Revision other, const std::string &message) {
+  CommandResult out = makeResult(ExitCode::Conflict, message);
+  out.Data["store_revision"] = Json::Int64(other.Value);
+  return out;
+}
+
+CommandResult writeFailure(const WriteReport &report, Revision rev) {
+  switch (report.Outcome) {
+  case WriteOutcome::Conflict:
+    return conflictResult(report.Other,
+                          "conflict: not applied, another change was first; " +
+                              report.Message);
+  case WriteOutcome::NotWritten:
+    return makeResult(ExitCode::StoreUnavailable,
+                      "not applied: " + report.Message);
+  default:
+    return makeResult(ExitCode::Unknown,
+                      "outcome unknown for revision " +
+                          std::to_string(rev.Value) + ": " + report.Message +
+                          "; apply the same file again to find out");
+  }
+}
+
+CommandResult appliedResult(const ToolContext &context, Revision rev,
+                            bool changed) {
+  CommandResult out =
+      makeResult(ExitCode::Ok, (changed ? "applied revision "
+                                        : "already in force as revision ") +
+                                   std::to_string(rev.Value));
+  out.Data["revision"] = Json::Int64(rev.Value);
+  out.Data["changed"] = changed;
+  if (changed && !recordHistory(context, rev))
+    addWarning(out, "the history could not be written");
+  return out;
+}
+
+} // namespace
+
+CommandResult findingsResult(const Findings &findings) {
+  CommandResult out;
+  out.Code = ExitCode::Usage;
+  out.Text = formatFindings(findings);
+  out.Data["findings"] = Json::Value(Json::arrayValue);
+  for (const Finding &it : findings) {
+    Json::Value finding;
+    finding["file"] = it.File;
+    finding["line"] = it.Line;
+    finding["path"] = it.Path;
+    finding["message"] = it.Message;
+    out.Data["findings"].append(finding);
+  }
+  return out;
+}
+
+CommandResult validateConfig(const std::string &file, const std::string &text) {
+  Findings findings;
+  parseConfig(file, text, findings);
+  Result<Json::Value> document = parseText(text);
+  std::size_t size = document ? writeCompact(document.value()).size() : 0;
+  if (size > MaxStoreValue)
+    findings.push_back({file, 1, "",
+                        "the document has " + std::to_string(size) +
+                            " bytes, the store takes at most 1000000"});
+  return findings.empty() ? makeResult(ExitCode::Ok, file + ": no findings")
+                          : findingsResult(findings);
+}
+
+CommandResult applyConfig(const ToolContext &context,
+                          const ApplyRequest &request) {
+  CommandResult valid = validateConfig(request.File, request.Text);
+  if (valid.Code != ExitCode::Ok)
+    return valid;
+  Json::Value document = withoutRevision(request.Text);
+  KnownRevision known = askRevisions(context, request.Daemons, ConfigKey);
+  Result<StoreValue> current = readDocument(context, ConfigKey);
+  if (!current)
+    return makeResult(ExitCode::StoreUnavailable,
+                      "not applied: " + current.error().Message);
+  const std::string &content = current.value().Content;
+  Revision held = revisionField(content);
+  if (request.ExpectedRevision && Revision(*request.ExpectedRevision) != held)
+    return conflictResult(held, "conflict: not applied, the store holds "
+                                "revision " +
+                                    std::to_string(held.Value));
+  // A store that came back older holds this content under a revision that
+  // daemons ignore, so then it is written once more.
+  if (!content.empty() && held >= known.Rev &&
+      withoutRevision(content) == withoutRevision(writeCompact(document)))
+    return appliedResult(context, held, false);
+  Revision rev = std::max(held, known.Rev) + Revision(1);
+  WriteReport report =
+      writeDocument(context, ConfigKey, withRevision(document, rev),
+                    current.value().ModifyIndex);
+  CommandResult out = report.Outcome == WriteOutcome::Applied
+                          ? appliedResult(context, rev, true)
+                          : writeFailure(report, rev);
+  for (const std::string &it : known.Silent)
+    addWarning(out, "daemon " + it + " did not tell its revisions");
+  return out;
+}
+
+CommandResult diffConfig(const ToolContext &context, const std::string &file,
+                         const std::string &text) {
+  CommandResult valid = validateConfig(file, text);
+  if (valid.Code != ExitCode::Ok)
+    return valid;
+  Result<StoreValue> current = readDocument(context, ConfigKey);
+  if (!current)
+    return makeResult(ExitCode::StoreUnavailable, current.error().Message);
+  std::vector<JsonChange> changes =
+      diffJson(withoutRevision(current.value().Content), withoutRevision(text));
+  CommandResult out;
+  out.Data["revision"] =
+      Json::Int64(revisionField(current.value().Content).Value);
+  out.Data["changes"] = Json::Value(Json::arrayValue);
+  for (const JsonChange &it : changes) {
+    out.Data["changes"].append(changeToJson(it));
+    out.Text += formatChange(it) + "\n";
+  }
+  if (changes.empty())
+    out.Text = "no difference\n";
+  return out;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryctl/daemon_status.cpp
@@ -0,0 +1,65 @@
+#include "daemon_status.h"
+
+#include "json_text.h"
+
+namespace savorylb {
+
+namespace {
+
+const std::string StatusPath = "/v1/status";
+const std::string KeyPrefix = "savory/v1/";
+
+Result<Json::Value> readStatus(const ToolContext &context,
+                               const std::string &daemon) {
+  Result<std::string> body = context.DaemonGet(daemon, StatusPath);
+  if (!body)
+    return failure(body.error().Code, body.error().Message);
+  Result<Json::Value> out = parseText(body.value());
+  if (out && !out.value().isObject())
+    return failure(ErrorCode::Malformed, "status is not an object");
+  return out;
+}
+
+} // namespace
+
+KnownRevision askRevisions(const ToolContext &context,
+                           const std::vector<std::string> &daemons,
+                           const std::string &key) {
+  KnownRevision out;
+  for (const std::string &it : daemons) {
+    Result<Json::Value> status = readStatus(context, it);
+    if (!status) {
+      out.Silent.push_back(it);
+      continue;
+    }
+    const Json::Value &revisions = status.value()["revisions"];
+    if (!revisions.isObject())
+      continue;
+    // Daemons may leave out the common prefix of the keys.
+    for (const std::string &name :
+         {key, key.substr(key.rfind(KeyPrefix, 0) == 0 ? KeyPrefix.size() : 0)})
+      if (revisions[name].isInt64() &&
+          out.Rev < Revision(revisions[name].asInt64()))
+        out.Rev = Revision(revisions[name].asInt64());
+  }
+  return out;
+}
+
+CommandResult showStatus(const ToolContext &context,
+                         const std::vector<std::string> &daemons) {
+  CommandResult out;
+  for (const std::string &it : daemons) {
+    Result<Json::Value> status = readStatus(context, it);
+    if (status) {
+      out.Data["daemons"][it] = status.value();
+      out.Text += it + ": " + writeCompact(status.value()) + "\n";
+      continue;
+    }
+    out.Code = ExitCode::StoreUnavailable;
+    out.Data["daemons"][it]["error"] = status.error().Message;
+    out.Text += it + ": no answer: " + status.error().Message + "\n";
+  }
+  return out;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryctl/store_keys.h
@@ -0,0 +1,14 @@
+#ifndef SAVORYCTL_STORE_KEYS_H
+#define SAVORYCTL_STORE_KEYS_H
+
+namespace savorylb {
+
+constexpr const char *ConfigKey = "savory/v1/config";
+constexpr const char *KeyRingKey = "savory/v1/keys";
+constexpr const char *ZonePrefix = "savory/v1/zones/";
+constexpr const char *RolloutPrefix = "savory/v1/rollouts/";
+constexpr const char *HistoryPrefix = "savory/v1/history/config/";
+
+} // namespace savorylb
+
+#endif // SAVORYCTL_STORE_KEYS_H
--- /dev/null
+++ b/src/savoryctl/store_mock.h
@@ -0,0 +1,115 @@
+#ifndef SAVORYCTL_STORE_MOCK_H
+#define SAVORYCTL_STORE_MOCK_H
+
+#include "tool_context.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace savorylb {
+
+/// How one compare-and-swap of the mock goes wrong.
+enum class MockFault { None, LostResponse, LostRequest, Refused, Down };
+
+/// An in-memory store for tests, with faults in the order of its writes.
+struct StoreMock {
+  std::map<std::string, StoreValue> Values;
+  std::uint64_t Index = 0;
+  std::deque<MockFault> Faults;
+  /// Runs before each write, to let another operator win a race.
+  std::function<void()> BeforeWrite;
+  /// Runs after a write whose response is lost.
+  std::function<void()> AfterLostResponse;
+  int Reads = 0;
+  int FailedReads = 0;
+  /// Writes that took effect, by key.
+  std::map<std::string, int> Effects;
+};
+
+/// Writes as another operator does.
+inline void putMock(StoreMock &mock, const std::string &key,
+                    const std::string &content) {
+  mock.Values[key] = {content, ++mock.Index};
+}
+
+inline Result<void> swapMock(StoreMock &mock, const std::string &key,
+                             const std::string &value, std::uint64_t expected) {
+  MockFault fault = MockFault::None;
+  if (!mock.Faults.empty()) {
+    fault = mock.Faults.front();
+    mock.Faults.pop_front();
+  }
+  if (mock.BeforeWrite)
+    mock.BeforeWrite();
+  if (fault == MockFault::Down)
+    return failure(ErrorCode::Unavailable, "connection refused");
+  if (fault == MockFault::Refused)
+    return failure(ErrorCode::Refused, "value refused");
+  if (fault == MockFault::LostRequest)
+    return failure(ErrorCode::Unknown, "no response");
+  auto it = mock.Values.find(key);
+  std::uint64_t index = it == mock.Values.end() ? 0 : it->second.ModifyIndex;
+  if (index != expected)
+    return failure(ErrorCode::Conflict, "index is " + std::to_string(index));
+  putMock(mock, key, value);
+  ++mock.Effects[key];
+  if (fault != MockFault::LostResponse)
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  if (mock.AfterLostResponse)
+    mock.AfterLostResponse();
+  return failure(ErrorCode::Unknown, "no response");
+}
+
+inline Result<StoreValue> getMock(StoreMock &mock, const std::string &key) {
+  ++mock.Reads;
+  if (mock.FailedReads > 0) {
+    --mock.FailedReads;
+    return failure(ErrorCode::Unavailable, "connection refused");
+  }
+  auto it = mock.Values.find(key);
+  if (it == mock.Values.end())
+    return failure(ErrorCode::NotFound, key);
+  return it->second;
+}
+
+/// \returns a context over the mock; daemons are unreachable until set.
+inline ToolContext makeMockContext(StoreMock &mock) {
+  ToolContext out;
+  out.Store.Get = [&mock](const std::string &key) {
+    return getMock(mock, key);
+  };
+  out.Store.List = [&mock](const std::string &prefix, std::uint64_t,
+                           Duration) -> Result<StoreListing> {
+    StoreListing listing;
+    for (const auto &[key, value] : mock.Values)
+      if (key.rfind(prefix, 0) == 0)
+        listing.Values[key] = value;
+    listing.Index = mock.Index;
+    return listing;
+  };
+  out.Store.CompareAndSwap = [&mock](const std::string &key,
+                                     const std::string &value,
+                                     std::uint64_t expected) {
+    return swapMock(mock, key, value, expected);
+  };
+  out.Store.Remove = [&mock](const std::string &key) -> Result<void> {
+    mock.Values.erase(key);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  };
+  out.DaemonGet = [](const std::string &,
+                     const std::string &) -> Result<std::string> {
+    return failure(ErrorCode::Unavailable, "connection refused");
+  };
+  out.DaemonPost = out.DaemonGet;
+  out.Now = [] { return WallTime(Millis(1796374800000)); };
+  out.Sleep = [](Duration) {};
+  out.RandomHex = [] { return std::string(64, 'a'); };
+  out.Operator = "tester";
+  return out;
+}
+
+} // namespace savorylb
+
+#endif // SAVORYCTL_STORE_MOCK_H
--- /dev/null
+++ b/src/savoryctl/store_write.cpp
@@ -0,0 +1,84 @@
+#include "store_write.h"
+
+#include "json_text.h"
+
+namespace savorylb {
+
+namespace {
+
+constexpr int Attempts = 4;
+constexpr Duration FirstWait = Millis(100);
+
+void waitBefore(const ToolContext &context, int attempt) {
+  if (attempt > 0)
+    context.Sleep(FirstWait * (1 << (attempt - 1)));
+}
+
+bool mayHaveTakenEffect(ErrorCode code) {
+  switch (code) {
+  case ErrorCode::Timeout:
+  case ErrorCode::Unknown:
+  case ErrorCode::Malformed:
+    return true;
+  default:
+    return false;
+  }
+}
+
+// Decides what a changed document says about the own write. Revisions only
+// rise, so ours cannot have been in force before a lower or an equal one.
+WriteReport judge(const std::string &content, const StoreValue &current,
+                  bool uncertain) {
+  if (current.Content == content)
+    return {WriteOutcome::Applied, {}, ""};
+  Revision other = revisionField(current.Content);
+  bool superseded = uncertain && other > revisionField(content);
+  return {superseded ? WriteOutcome::Superseded : WriteOutcome::Conflict, other,
+          "the store holds revision " + std::to_string(other.Value)};
+}
+
+} // namespace
+
+Result<StoreValue> readDocument(const ToolContext &context,
+                                const std::string &key) {
+  Result<StoreValue> out =
+      failure(ErrorCode::Unavailable, "the store was not asked");
+  for (int i = 0; i < Attempts; ++i) {
+    waitBefore(context, i);
+    out = context.Store.Get(key);
+    if (out)
+      return out;
+    if (out.error().Code == ErrorCode::NotFound)
+      return StoreValue{};
+  }
+  return out;
+}
+
+WriteReport writeDocument(const ToolContext &context, const std::string &key,
+                          const std::string &content,
+                          std::uint64_t expectedIndex) {
+  bool uncertain = false;
+  std::string message;
+  for (int i = 0; i < Attempts; ++i) {
+    waitBefore(context, i);
+    Result<void> written =
+        context.Store.CompareAndSwap(key, content, expectedIndex);
+    if (written)
+      return {WriteOutcome::Applied, {}, ""};
+    message = written.error().Message;
+    bool conflict = written.error().Code == ErrorCode::Conflict;
+    uncertain = uncertain || mayHaveTakenEffect(written.error().Code);
+    if (!conflict && !uncertain)
+      continue;
+    Result<StoreValue> current = readDocument(context, key);
+    if (current && current.value().ModifyIndex != expectedIndex)
+      return judge(content, current.value(), uncertain);
+    if (conflict && !uncertain)
+      return {WriteOutcome::Conflict, {}, message};
+  }
+  return {uncertain ? WriteOutcome::Unknown : WriteOutcome::NotWritten,
+          {},
+          message};
+}
+
+} // namespace savorylb
