--- /dev/null
+++ b/src/savoryctl/command_options.h
@@ -0,0 +1,27 @@
+#ifndef SAVORYCTL_COMMAND_OPTIONS_H
+#define SAVORYCTL_COMMAND_OPTIONS_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savorylb {
+
+/// Values of the options of all commands.
+struct CommandOptions {
+  std::string File;
+  std::string Name;
+  std::string Team;
+  std::string Label;
+  std::string Zone;
+  std::string Admin;
+  std::vector<std::string> Daemons;
+  std::optional<std::int64_t> ExpectedRevision;
+  bool Undo = false;
+  bool Yes = false;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYCTL_COMMAND_OPTIONS_H
--- a/src/savoryctl/config_commands_test.cpp
+++ b/src/savoryctl/config_commands_test.cpp
@@ -115,10 +115,7 @@
 // Guards against one operator's change that silently replaces another's.
 TEST(ConfigCommands, RacingOperatorGivesAConflictWithItsRevision) {
   putMock(Mock, ConfigKey, document(5, 4));
-  Mock.BeforeWrite = [this] {
-    Mock.BeforeWrite = nullptr;
-    putMock(Mock, ConfigKey, document(7, 6));
-  };
+  Mock.BeforeWrite = [this] { putMock(Mock, ConfigKey, document(7, 6)); };
   CommandResult out = apply(8);
   checkCode(ExitCode::Conflict, out);
   LONGS_EQUAL(6, out.Data["store_revision"].asInt());
@@ -137,10 +134,7 @@
 
   // The other operator wrote the same revision, so the lost one never ran.
   Mock.Faults = {MockFault::LostRequest};
-  Mock.BeforeWrite = [this] {
-    Mock.BeforeWrite = nullptr;
-    putMock(Mock, ConfigKey, document(8, 3));
-  };
+  Mock.BeforeWrite = [this] { putMock(Mock, ConfigKey, document(8, 3)); };
   checkCode(ExitCode::Conflict, apply(9));
 }
 
--- /dev/null
+++ b/src/savoryctl/key_commands.cpp
@@ -0,0 +1,202 @@
+#include "key_commands.h"
+
+#include "document_edit.h"
+#include "json_text.h"
+#include "store_keys.h"
+#include "store_write.h"
+
+#include "savorylb/config.h"
+#include "savorylb/key_ring.h"
+
+#include <Poco/DigestEngine.h>
+#include <Poco/SHA2Engine.h>
+#include <algorithm>
+
+namespace savorylb {
+
+namespace {
+
+// Changes a key ring; a message is set on errors and on success.
+using RingEdit = std::function<EditStep(KeyRing &ring, bool &changed)>;
+
+EditStep editRing(const std::string &current, Revision next,
+                  const RingEdit &edit) {
+  KeyRing ring;
+  if (!current.empty()) {
+    Result<KeyRing> parsed = parseKeyRing(current);
+    if (!parsed)
+      return {
+          ExitCode::Usage, "the store's keys: " + parsed.error().Message, {}};
+    ring = parsed.value();
+  }
+  bool changed = false;
+  EditStep step = edit(ring, changed);
+  if (step.Code != ExitCode::Ok || !changed)
+    return step;
+  ring.Rev = next;
+  step.Next = formatKeyRing(ring);
+  return step;
+}
+
+CommandResult changeRing(const ToolContext &context,
+                         const std::vector<std::string> &daemons,
+                         const RingEdit &edit) {
+  return editDocument(context, KeyRingKey, daemons,
+                      [&edit](const std::string &current, Revision next) {
+                        return editRing(current, next, edit);
+                      });
+}
+
+// A label names one key, so an entry with it is either this grant or another.
+EditStep addEntry(KeyRing &ring, const KeyEntry &entry, bool &changed) {
+  for (const KeyEntry &it : ring.Entries) {
+    if (it.Label != entry.Label && it.Digest != entry.Digest)
+      continue;
+    bool same = it.Label == entry.Label && it.Digest == entry.Digest &&
+                it.Team == entry.Team && !it.Revoked;
+    if (!same)
+      return {ExitCode::Conflict,
+              it.Label == entry.Label
+                  ? "label \"" + entry.Label + "\" is in use" +
+                        (it.Revoked ? " by a withdrawn key" : "")
+                  : "the key of \"" + entry.Label +
+                        "\" is already granted "
+                        "under another label",
+              {}};
+    return {ExitCode::Ok, "key \"" + entry.Label + "\" is in force", {}};
+  }
+  ring.Entries.push_back(entry);
+  changed = true;
+  return {ExitCode::Ok, "key \"" + entry.Label + "\" is in force", {}};
+}
+
+// \returns an error when the configuration is known and lacks the team.
+std::optional<CommandResult> checkTeam(const ToolContext &context,
+                                       const std::string &team) {
+  Result<StoreValue> value = readDocument(context, ConfigKey);
+  if (!value)
+    return makeResult(ExitCode::StoreUnavailable,
+                      "not granted: " + value.error().Message);
+  Findings findings;
+  Config config = parseConfig(ConfigKey, value.value().Content, findings);
+  if (value.value().Content.empty() || !findings.empty() ||
+      findTeam(config, TeamId(team)))
+    return std::nullopt;
+  return makeResult(ExitCode::NotFound, "no team \"" + team + "\"");
+}
+
+} // namespace
+
+std::string digestOfKey(const std::string &key) {
+  Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+  engine.update(key);
+  return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+CommandResult grantKey(const ToolContext &context, const std::string &team,
+                       const std::string &label,
+                       const std::vector<std::string> &daemons) {
+  if (team.empty() || label.empty())
+    return makeResult(ExitCode::Usage, "team and label must not be empty");
+  if (std::optional<CommandResult> missing = checkTeam(context, team))
+    return *missing;
+  std::string key = context.RandomHex();
+  if (key.size() < 64)
+    return makeResult(ExitCode::Usage,
+                      "the system's random source gave no key");
+  KeyEntry entry{digestOfKey(key), TeamId(team), label, false};
+  CommandResult out =
+      changeRing(context, daemons, [&entry](KeyRing &ring, bool &changed) {
+        return addEntry(ring, entry, changed);
+      });
+  if (out.Code == ExitCode::Ok) {
+    out.Data["key"] = key;
+    out.Text += key + "\n";
+  } else if (out.Code == ExitCode::Unknown) {
+    addWarning(out, "withdraw label \"" + label +
+                        "\" before another grant; its key was not shown");
+  }
+  return out;
+}
+
+CommandResult importKeys(const ToolContext &context, const std::string &file,
+                         const std::string &text,
+                         const std::vector<std::string> &daemons) {
+  Result<Json::Value> list = parseText(text);
+  if (!list || !list.value().isArray())
+    return makeResult(ExitCode::Usage, file + ": expected a list of keys");
+  std::vector<KeyEntry> entries;
+  for (const Json::Value &it : list.value()) {
+    for (const char *name : {"team", "label", "key"})
+      if (!it.isObject() || !it[name].isString() || it[name].asString().empty())
+        return makeResult(ExitCode::Usage, file + ": key " +
+                                               std::to_string(entries.size()) +
+                                               " has no " + name);
+    entries.push_back({digestOfKey(it["key"].asString()),
+                       TeamId(it["team"].asString()), it["label"].asString(),
+                       false});
+  }
+  return changeRing(context, daemons,
+                    [&entries](KeyRing &ring, bool &changed) -> EditStep {
+                      for (const KeyEntry &entry : entries) {
+                        EditStep step = addEntry(ring, entry, changed);
+                        if (step.Code != ExitCode::Ok)
+                          return step;
+                      }
+                      return {ExitCode::Ok,
+                              std::to_string(entries.size()) + " keys are in "
+                                                               "force",
+                              {}};
+                    });
+}
+
+CommandResult withdrawKey(const ToolContext &context, const std::string &label,
+                          const std::vector<std::string> &daemons) {
+  return changeRing(
+      context, daemons, [&label](KeyRing &ring, bool &changed) -> EditStep {
+        bool found = false;
+        for (KeyEntry &it : ring.Entries) {
+          if (it.Label != label)
+            continue;
+          found = true;
+          changed = changed || !it.Revoked;
+          it.Revoked = true;
+        }
+        if (!found)
+          return {ExitCode::NotFound, "no key \"" + label + "\"", {}};
+        return {ExitCode::Ok, "key \"" + label + "\" is withdrawn", {}};
+      });
+}
+
+CommandResult listKeys(const ToolContext &context) {
+  Result<StoreValue> value = readDocument(context, KeyRingKey);
+  if (!value)
+    return makeResult(ExitCode::StoreUnavailable, value.error().Message);
+  KeyRing ring;
+  if (!value.value().Content.empty()) {
+    Result<KeyRing> parsed = parseKeyRing(value.value().Content);
+    if (!parsed)
+      return makeResult(ExitCode::Usage, parsed.error().Message);
+    ring = parsed.value();
+  }
+  CommandResult out;
+  out.Data["revision"] = Json::Int64(ring.Rev.Value);
+  out.Data["keys"] = Json::Value(Json::arrayValue);
+  for (const KeyEntry &it : ring.Entries) {
+    Json::Value entry;
+    entry["label"] = it.Label;
+    entry["team"] = it.Team.Value;
+    entry["state"] = it.Revoked ? "withdrawn" : "in force";
+    // Enough of the digest to compare two listings by eye.
+    entry["digest"] = it.Digest.substr(0, 12);
+    out.Text += it.Label + "  " + it.Team.Value + "  " +
+                entry["state"].asString() + "  " + entry["digest"].asString() +
+                "\n";
+    out.Data["keys"].append(entry);
+  }
+  if (ring.Entries.empty())
+    out.Text = "no keys\n";
+  return out;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryctl/key_commands_test.cpp
@@ -0,0 +1,113 @@
+#include "key_commands.h"
+
+#include "json_text.h"
+#include "store_keys.h"
+#include "store_mock.h"
+
+#include "savorylb/key_ring.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+TEST_GROUP(KeyCommands) {
+  StoreMock Mock;
+  ToolContext Context = makeMockContext(Mock);
+
+  CommandResult grant(const std::string &label) {
+    return grantKey(Context, "pilots", label, {});
+  }
+  std::string ring() { return Mock.Values[KeyRingKey].Content; }
+  void check(ExitCode expected, const CommandResult &result) {
+    LONGS_EQUAL_TEXT(static_cast<int>(expected), static_cast<int>(result.Code),
+                     result.Text.c_str());
+  }
+};
+
+// Guards against a stored key and against a digest that daemons do not find.
+TEST(KeyCommands, GrantStoresOnlyTheDigest) {
+  CommandResult out = grant("one");
+  check(ExitCode::Ok, out);
+  std::string key = out.Data["key"].asString();
+  LONGS_EQUAL(64, key.size());
+  CHECK(ring().find(key) == std::string::npos);
+  STRCMP_EQUAL(
+      "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad",
+      digestOfKey("abc").c_str());
+  KeyRing parsed = parseKeyRing(ring()).value();
+  CHECK(teamOfKey(parsed, digestOfKey(key)) == TeamId("pilots"));
+}
+
+// Guards against a second key under a label, which one withdrawal would not
+// tell apart, and against one key granted twice.
+TEST(KeyCommands, LabelsAndKeysAreUnique) {
+  check(ExitCode::Ok, grant("one"));
+  Context.RandomHex = [] { return std::string(64, 'b'); };
+  check(ExitCode::Conflict, grant("one"));
+  check(ExitCode::Ok, grant("two"));
+  check(ExitCode::Conflict, grant("three"));
+  LONGS_EQUAL(2, listKeys(Context).Data["keys"].size());
+}
+
+// Guards against a withdrawn key that stays in force or comes back.
+TEST(KeyCommands, WithdrawRevokesOnce) {
+  std::string key = grant("one").Data["key"].asString();
+  check(ExitCode::Ok, withdrawKey(Context, "one", {}));
+  CHECK(!teamOfKey(parseKeyRing(ring()).value(), digestOfKey(key)));
+  CHECK(!withdrawKey(Context, "one", {}).Data["changed"].asBool());
+  check(ExitCode::NotFound, withdrawKey(Context, "two", {}));
+  check(ExitCode::Conflict, grant("one"));
+}
+
+// Guards against a racing operator's withdrawal that a grant undoes.
+TEST(KeyCommands, RacingChangesAreBothKept) {
+  std::string key = grant("one").Data["key"].asString();
+  Context.RandomHex = [] { return std::string(64, 'b'); };
+  Mock.BeforeWrite = [this] {
+    check(ExitCode::Ok, withdrawKey(Context, "one", {}));
+  };
+  check(ExitCode::Ok, grant("two"));
+  KeyRing parsed = parseKeyRing(ring()).value();
+  CHECK(!teamOfKey(parsed, digestOfKey(key)));
+  CHECK(parsed.Rev == Revision(3));
+}
+
+// Guards against two grants for one command, and against a key shown for a
+// grant that is not certainly in force.
+TEST(KeyCommands, LostResponses) {
+  Mock.Faults = {MockFault::LostResponse};
+  check(ExitCode::Ok, grant("one"));
+  LONGS_EQUAL(1, Mock.Effects[KeyRingKey]);
+  Context.RandomHex = [] { return std::string(64, 'b'); };
+  Mock.Faults = {MockFault::LostRequest, MockFault::Down, MockFault::Down,
+                 MockFault::Down};
+  CommandResult out = grant("two");
+  check(ExitCode::Unknown, out);
+  CHECK(!out.Data.isMember("key"));
+}
+
+// Guards against an edit of an older ring than daemons hold, which would
+// bring withdrawn keys back.
+TEST(KeyCommands, RefusedWhileTheStoreIsBehindDaemons) {
+  check(ExitCode::Ok, grant("one"));
+  Context.DaemonGet = [](const std::string &,
+                         const std::string &) -> Result<std::string> {
+    return std::string("{\"revisions\": {\"savory/v1/keys\": 9}}");
+  };
+  check(ExitCode::Conflict, withdrawKey(Context, "one", {"a:1"}));
+  LONGS_EQUAL(1, Mock.Effects[KeyRingKey]);
+}
+
+// Guards against keys for teams that no configuration knows, and against a
+// file of keys that is granted in part.
+TEST(KeyCommands, ChecksTeamsAndFiles) {
+  putMock(Mock, ConfigKey,
+          "{\"regions\": [{\"name\": \"r\", \"zones\": [\"z\"]}], "
+          "\"services\": [], \"teams\": []}");
+  check(ExitCode::NotFound, grant("one"));
+  check(ExitCode::Usage,
+        importKeys(Context, "k.json",
+                   "[{\"team\": \"a\", \"label\": \"x\", \"key\": \"k\"}, {}]",
+                   {}));
+  CHECK(ring().empty());
+}
--- /dev/null
+++ b/src/savoryctl/operations_test.cpp
@@ -0,0 +1,180 @@
+#include "drain_commands.h"
+#include "json_text.h"
+#include "ownership_commands.h"
+#include "rollout_commands.h"
+#include "store_keys.h"
+#include "store_mock.h"
+
+#include "savorylb/rollout.h"
+#include "savorylb/zone_document.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+const std::string Configured = R"({"revision": 4,
+  "regions": [{"name": "tema", "zones": ["tema-a"]}],
+  "services": [{"name": "tiles", "execution": "idempotent", "targets": [
+    {"name": "t1", "zone": "tema-a", "address": "127.0.0.1:1", "slots": 1, "version": "v1"},
+    {"name": "t2", "zone": "tema-a", "address": "127.0.0.1:2", "slots": 1, "version": "v2"}]}],
+  "teams": []})";
+
+const std::string RolloutFile =
+    "{\"name\": \"r1\", \"service\": \"tiles\", \"from\": \"v1\", \"to\": "
+    "\"v2\", \"deadline\": \"2027-01-01T00:00:00Z\"}";
+
+} // namespace
+
+TEST_GROUP(Operations) {
+  StoreMock Mock;
+  ToolContext Context = makeMockContext(Mock);
+
+  void setup() override { putMock(Mock, ConfigKey, Configured); }
+  void check(ExitCode expected, const CommandResult &result) {
+    LONGS_EQUAL_TEXT(static_cast<int>(expected), static_cast<int>(result.Code),
+                     result.Text.c_str());
+  }
+  Json::Value config() {
+    return parseText(Mock.Values[ConfigKey].Content).value();
+  }
+  CommandResult drain(const std::string &name, bool undo = false) {
+    return drainInConfig(Context, {DrainKind::Target, name, undo, {}});
+  }
+  CommandResult start(const std::string &text) {
+    return startRollout(Context, "r.json", text, {});
+  }
+};
+
+// Guards against a drain that loses a racing change or marks the wrong one.
+TEST(Operations, DrainsTargetsAndRegions) {
+  Mock.BeforeWrite = [this] {
+    check(ExitCode::Ok,
+          drainInConfig(Context, {DrainKind::Region, "tema", false, {}}));
+  };
+  check(ExitCode::Ok, drain("t2"));
+  LONGS_EQUAL(6, config()["revision"].asInt());
+  CHECK(config()["regions"][0]["draining"].asBool());
+  CHECK(config()["services"][0]["targets"][1]["draining"].asBool());
+  CHECK(!drain("t2").Data["changed"].asBool());
+  check(ExitCode::Ok, drain("t2", true));
+  CHECK(!config()["services"][0]["targets"][1]["draining"].asBool());
+  check(ExitCode::NotFound, drain("t3"));
+}
+
+// Guards against a second drain after another operator undid the first.
+TEST(Operations, DrainIsNotRepeatedAfterALostResponse) {
+  Mock.Faults = {MockFault::LostResponse};
+  Mock.AfterLostResponse = [this] { check(ExitCode::Ok, drain("t2", true)); };
+  check(ExitCode::Unknown, drain("t2"));
+  CHECK(!config()["services"][0]["targets"][1]["draining"].asBool());
+  Mock.Faults = {MockFault::LostResponse};
+  Mock.AfterLostResponse = [this] {
+    check(ExitCode::Ok,
+          drainInConfig(Context, {DrainKind::Region, "tema", false, {}}));
+  };
+  check(ExitCode::Ok, drain("t2"));
+}
+
+// Guards against draining another VM, and against a drain reported as not
+// begun although it may have.
+TEST(Operations, DrainsVms) {
+  int posts = 0;
+  Context.DaemonGet = [](const std::string &,
+                         const std::string &) -> Result<std::string> {
+    return std::string("{\"vm\": \"tema-a-1\"}");
+  };
+  Context.DaemonPost = [&](const std::string &,
+                           const std::string &) -> Result<std::string> {
+    if (++posts == 1)
+      return std::string("{}");
+    return failure(ErrorCode::Timeout, "no response");
+  };
+  check(ExitCode::NotFound, drainVm(Context, "tema-a-2", "a:1"));
+  LONGS_EQUAL(0, posts);
+  check(ExitCode::Ok, drainVm(Context, "tema-a-1", "a:1"));
+  check(ExitCode::Unknown, drainVm(Context, "tema-a-1", "a:1"));
+}
+
+// Guards against a rollout that is checked only by the daemons, and against
+// one that replaces another before it has ended.
+TEST(Operations, StartsAndTakesBackRollouts) {
+  check(ExitCode::Usage, start("{\"name\": \"r1\", \"service\": \"tiles\", "
+                               "\"from\": \"v1\", \"to\": \"v9\", "
+                               "\"deadline\": \"2027-01-01T00:00:00Z\"}"));
+  check(ExitCode::Ok, start(RolloutFile));
+  CHECK(!start(RolloutFile).Data["changed"].asBool());
+  std::string second = RolloutFile;
+  second.replace(second.find("r1"), 2, "r2");
+  check(ExitCode::Conflict, start(second));
+  STRCMP_EQUAL("waiting",
+               showRollouts(Context).Data["rollouts"][0]["state"].asCString());
+  check(ExitCode::Ok, takeBackRollout(Context, "r1", {}));
+  const std::string key = std::string(RolloutPrefix) + "tiles";
+  RolloutRecord record = parseRolloutRecord(Mock.Values[key].Content).value();
+  CHECK(record.Phase == RolloutPhase::TakenBack);
+  CHECK(record.Share == Ppm(0));
+  check(ExitCode::Ok, start(second));
+  LONGS_EQUAL(1, config()["rollouts"].size());
+  check(ExitCode::NotFound, takeBackRollout(Context, "r1", {}));
+  // The new rollout's record goes above the old one's revision.
+  check(ExitCode::Ok, takeBackRollout(Context, "r2", {}));
+  CHECK(parseRolloutRecord(Mock.Values[key].Content).value().Rev ==
+        Revision(2));
+  check(ExitCode::Conflict, start(second));
+}
+
+// Guards against a rollout that is taken back after it was done.
+TEST(Operations, DoneRolloutsStayDone) {
+  check(ExitCode::Ok, start(RolloutFile));
+  RolloutRecord record;
+  record.Name = RolloutId("r1");
+  record.Service = ServiceId("tiles");
+  record.Rev = Revision(3);
+  record.Phase = RolloutPhase::Done;
+  record.Share = WholePpm;
+  putMock(Mock, std::string(RolloutPrefix) + "tiles",
+          formatRolloutRecord(record));
+  check(ExitCode::Conflict, takeBackRollout(Context, "r1", {}));
+}
+
+// Guards against resources of a reclaimed VM that stay owned, against a clean
+// ledger where it is lost, and against reclaiming a VM that came back.
+TEST(Operations, ReclaimsOwnership) {
+  ZoneDocument doc = makeZoneDocument(ZoneId("tema-a"), Ppm(300'000));
+  doc.Rev = Revision(8);
+  for (const char *vm : {"tema-a-1", "tema-a-2"}) {
+    ZoneMember &member = doc.Members[VmId(vm)];
+    member.Life = Incarnation("first");
+    member.PeerEndpoint = "127.0.0.1:1";
+    member.RatePpm = Ppm(150'000);
+    doc.Targets[TargetId(std::string("of-") + vm)] = VmId(vm);
+  }
+  doc.Partitions.assign(PartitionCount, VmId("tema-a-2"));
+  doc.Partitions[3] = VmId("tema-a-1");
+  const std::string key = std::string(ZonePrefix) + "tema-a";
+  putMock(Mock, key, formatZoneDocument(doc));
+  auto reclaim = [this](bool yes) {
+    return reclaimOwnership(Context, "tema-a-1", "tema-a", yes);
+  };
+  check(ExitCode::Usage, reclaim(false));
+  Mock.BeforeWrite = [this, doc, key] {
+    ZoneDocument other = doc;
+    other.Rev = Revision(9);
+    other.Members[VmId("tema-a-1")].Life = Incarnation("second");
+    putMock(Mock, key, formatZoneDocument(other));
+  };
+  check(ExitCode::Conflict, reclaim(true));
+  check(ExitCode::Ok, reclaim(true));
+  ZoneDocument out = parseZoneDocument(Mock.Values[key].Content).value();
+  CHECK(out.Rev == Revision(10));
+  LONGS_EQUAL(1, out.Members.size());
+  LONGS_EQUAL(1, out.Targets.size());
+  CHECK(out.Partitions[3].empty());
+  LONGS_EQUAL(10, out.QuarantinedAt[3]);
+  LONGS_EQUAL(0, out.QuarantinedAt[4]);
+  Json::Value zone = showOwnership(Context).Data["zones"][0];
+  LONGS_EQUAL(150'000, zone["unassigned_rate_ppm"].asInt());
+  check(ExitCode::NotFound, reclaim(true));
+}
--- /dev/null
+++ b/src/savoryctl/rollout_commands.cpp
@@ -0,0 +1,213 @@
+#include "rollout_commands.h"
+
+#include "config_edit.h"
+#include "json_text.h"
+#include "store_keys.h"
+#include "store_write.h"
+
+#include "savorylb/config.h"
+#include "savorylb/rollout.h"
+
+#include <utility>
+
+namespace savorylb {
+
+namespace {
+
+const char *phaseText(RolloutPhase phase) {
+  switch (phase) {
+  case RolloutPhase::Waiting:
+    return "waiting";
+  case RolloutPhase::Running:
+    return "running";
+  case RolloutPhase::Late:
+    return "late";
+  case RolloutPhase::Done:
+    return "done";
+  case RolloutPhase::TakenBack:
+    return "taken back";
+  }
+  return "unknown";
+}
+
+bool isFinal(const RolloutRecord &record) {
+  return record.Phase == RolloutPhase::Done ||
+         record.Phase == RolloutPhase::TakenBack;
+}
+
+// \returns the record of a service, nothing when there is none yet.
+Result<std::optional<RolloutRecord>> readRecord(const ToolContext &context,
+                                                const std::string &service) {
+  Result<StoreValue> value = readDocument(context, RolloutPrefix + service);
+  if (!value)
+    return failure(value.error().Code, value.error().Message);
+  if (value.value().Content.empty())
+    return std::optional<RolloutRecord>();
+  Result<RolloutRecord> record = parseRolloutRecord(value.value().Content);
+  if (!record)
+    return failure(record.error().Code, record.error().Message);
+  return std::optional<RolloutRecord>(record.value());
+}
+
+ConfigEditStep addRollout(Json::Value &document, const Json::Value &rollout,
+                          const std::optional<RolloutRecord> &record) {
+  const std::string name = rollout["name"].asString();
+  // States of an id never go back, so daemons would ignore it.
+  if (record && record->Name.Value == name && isFinal(*record))
+    return {ExitCode::Conflict,
+            "rollout " + name + " has ended (" + phaseText(record->Phase) +
+                "); start it under another name",
+            false};
+  Json::Value kept(Json::arrayValue);
+  for (const Json::Value &it : document["rollouts"]) {
+    if (it == rollout)
+      return {ExitCode::Ok, "rollout " + name + " is configured", false};
+    if (it["service"] != rollout["service"]) {
+      kept.append(it);
+      continue;
+    }
+    if (!record || record->Name.Value != it["name"].asString() ||
+        !isFinal(*record))
+      return {ExitCode::Conflict,
+              "rollout " + it["name"].asString() + " of service " +
+                  it["service"].asString() + " has not ended",
+              false};
+  }
+  kept.append(rollout);
+  document["rollouts"] = kept;
+  return {ExitCode::Ok, "rollout " + name + " is configured", true};
+}
+
+Json::Value statusOf(const RolloutSpec &spec,
+                     const std::optional<RolloutRecord> &record) {
+  Json::Value out;
+  out["name"] = spec.Name.Value;
+  out["service"] = spec.Service.Value;
+  out["from"] = spec.From.Value;
+  out["to"] = spec.To.Value;
+  out["deadline"] = formatUtc(spec.Deadline);
+  // A record of an earlier rollout of the service says nothing of this one.
+  bool own = record && record->Name == spec.Name;
+  out["state"] = own ? phaseText(record->Phase) : "waiting";
+  out["share_percent"] =
+      own ? static_cast<double>(record->Share.Value) / 10'000 : 0.0;
+  if (own) {
+    out["proven"] = record->Proven;
+    out["reason"] = record->Reason;
+    out["revision"] = Json::Int64(record->Rev.Value);
+  }
+  return out;
+}
+
+// \returns the configuration in the store; NotFound when there is none.
+Result<Config> readConfig(const ToolContext &context) {
+  Result<StoreValue> value = readDocument(context, ConfigKey);
+  if (!value)
+    return failure(ErrorCode::Unavailable, value.error().Message);
+  if (value.value().Content.empty())
+    return failure(ErrorCode::NotFound, "the store holds no configuration");
+  Findings findings;
+  Config out = parseConfig(ConfigKey, value.value().Content, findings);
+  if (!findings.empty())
+    return failure(ErrorCode::Malformed, formatFindings(findings));
+  return out;
+}
+
+CommandResult errorResult(const Error &error) {
+  if (error.Code == ErrorCode::NotFound)
+    return makeResult(ExitCode::NotFound, error.Message);
+  if (error.Code == ErrorCode::Malformed)
+    return makeResult(ExitCode::Usage, error.Message);
+  return makeResult(ExitCode::StoreUnavailable, error.Message);
+}
+
+EditStep takeBack(const std::string &current, Revision next,
+                  const RolloutSpec &spec) {
+  RolloutRecord record;
+  if (!current.empty()) {
+    Result<RolloutRecord> parsed = parseRolloutRecord(current);
+    if (!parsed)
+      return {ExitCode::Usage, parsed.error().Message, {}};
+    record = parsed.value();
+  }
+  const std::string message = "rollout " + spec.Name.Value + " is taken back";
+  if (record.Name != spec.Name)
+    record = RolloutRecord{};
+  else if (record.Phase == RolloutPhase::TakenBack)
+    return {ExitCode::Ok, message, {}};
+  else if (record.Phase == RolloutPhase::Done)
+    return {ExitCode::Conflict,
+            "rollout " + spec.Name.Value +
+                " is done; roll out the old version instead",
+            {}};
+  record.Name = spec.Name;
+  record.Service = spec.Service;
+  record.Rev = next;
+  record.Phase = RolloutPhase::TakenBack;
+  record.Share = Ppm(0);
+  record.Reason = "operator";
+  return {ExitCode::Ok, message, formatRolloutRecord(record)};
+}
+
+} // namespace
+
+CommandResult startRollout(const ToolContext &context, const std::string &file,
+                           const std::string &text,
+                           const std::vector<std::string> &daemons) {
+  Result<Json::Value> parsed = parseText(text);
+  if (!parsed || !parsed.value().isObject())
+    return makeResult(ExitCode::Usage, file + ": expected a rollout object");
+  Json::Value rollout = parsed.value();
+  if (!rollout["name"].isString() || !rollout["service"].isString())
+    return makeResult(ExitCode::Usage, file + ": name or service is missing");
+  if (!rollout.isMember("start"))
+    rollout["start"] = Json::Int64(context.Now().time_since_epoch().count());
+  Result<std::optional<RolloutRecord>> record =
+      readRecord(context, rollout["service"].asString());
+  if (!record)
+    return errorResult(record.error());
+  return editConfig(context, daemons, [&](Json::Value &document) {
+    return addRollout(document, rollout, record.value());
+  });
+}
+
+CommandResult showRollouts(const ToolContext &context) {
+  Result<Config> config = readConfig(context);
+  if (!config)
+    return errorResult(config.error());
+  CommandResult out;
+  out.Data["rollouts"] = Json::Value(Json::arrayValue);
+  for (const RolloutSpec &spec : config.value().Rollouts) {
+    Result<std::optional<RolloutRecord>> record =
+        readRecord(context, spec.Service.Value);
+    if (!record)
+      return errorResult(record.error());
+    Json::Value status = statusOf(spec, record.value());
+    out.Text += spec.Name.Value + "  " + spec.Service.Value + "  " +
+                spec.From.Value + " -> " + spec.To.Value + "  " +
+                status["state"].asString() + "  " +
+                writeCompact(status["share_percent"]) + "%  " +
+                status["reason"].asString() + "\n";
+    out.Data["rollouts"].append(status);
+  }
+  if (config.value().Rollouts.empty())
+    out.Text = "no rollouts\n";
+  return out;
+}
+
+CommandResult takeBackRollout(const ToolContext &context,
+                              const std::string &name,
+                              const std::vector<std::string> &daemons) {
+  Result<Config> config = readConfig(context);
+  if (!config)
+    return errorResult(config.error());
+  for (const RolloutSpec &spec : config.value().Rollouts)
+    if (spec.Name.Value == name)
+      return editDocument(context, RolloutPrefix + spec.Service.Value, daemons,
+                          [&spec](const std::string &current, Revision next) {
+                            return takeBack(current, next, spec);
+                          });
+  return makeResult(ExitCode::NotFound, "no rollout " + name);
+}
+
+} // namespace savorylb
--- a/src/savoryctl/store_mock.h
+++ b/src/savoryctl/store_mock.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace savorylb {
 
@@ -18,9 +19,9 @@
   std::map<std::string, StoreValue> Values;
   std::uint64_t Index = 0;
   std::deque<MockFault> Faults;
-  /// Runs before each write, to let another operator win a race.
+  /// Runs once before the next write, to let another operator win a race.
   std::function<void()> BeforeWrite;
-  /// Runs after a write whose response is lost.
+  /// Runs once after a write whose response is lost.
   std::function<void()> AfterLostResponse;
   int Reads = 0;
   int FailedReads = 0;
@@ -41,8 +42,8 @@
     fault = mock.Faults.front();
     mock.Faults.pop_front();
   }
-  if (mock.BeforeWrite)
-    mock.BeforeWrite();
+  if (auto hook = std::exchange(mock.BeforeWrite, nullptr))
+    hook();
   if (fault == MockFault::Down)
     return failure(ErrorCode::Unavailable, "connection refused");
   if (fault == MockFault::Refused)
@@ -57,8 +58,8 @@
   ++mock.Effects[key];
   if (fault != MockFault::LostResponse)
     return BOOST_OUTCOME_V2_NAMESPACE::success();
-  if (mock.AfterLostResponse)
-    mock.AfterLostResponse();
+  if (auto hook = std::exchange(mock.AfterLostResponse, nullptr))
+    hook();
   return failure(ErrorCode::Unknown, "no response");
 }
 
