Add the key-value store stand-in

Whole-program tests need a store and a VM list that follow the published HTTP interface and fail on command. kvstandin serves keys, sessions and the VM list with faults by a control port; a manual run with curl showed CAS, a blocking query that ends on a delete, and a lost answer.

--- /dev/null
+++ b/src/standins/kvstandin/kv_store.cpp
@@ -0,0 +1,205 @@
+#include "kv_store.h"
+
+#include <Poco/Exception.h>
+#include <Poco/UUIDGenerator.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace savorylb::standin {
+
+namespace {
+
+bool startsWith(const std::string &text, const std::string &prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+KvListing KvStore::read(const std::string &key, bool recurse) const {
+  std::lock_guard<std::mutex> guard(Lock);
+  KvListing out;
+  out.Index = indexOf(key, recurse);
+  for (auto it = Entries.lower_bound(key);
+       it != Entries.end() &&
+       (recurse ? startsWith(it->first, key) : it->first == key);
+       ++it)
+    if (!it->second.Deleted)
+      out.Entries.push_back(*it);
+  return out;
+}
+
+std::uint64_t KvStore::indexOf(const std::string &key, bool recurse) const {
+  std::uint64_t n = 1;
+  for (auto it = Entries.lower_bound(key);
+       it != Entries.end() &&
+       (recurse ? startsWith(it->first, key) : it->first == key);
+       ++it)
+    n = std::max(n, it->second.ModifyIndex);
+  return n;
+}
+
+void KvStore::wait(const std::string &key, bool recurse, std::uint64_t after,
+                   Clock::duration limit, const std::function<bool()> &cut) {
+  auto end = Clock::now() + limit;
+  std::unique_lock<std::mutex> guard(Lock);
+  Watch self;
+  self.Key = key;
+  self.Recurse = recurse;
+  auto place = Watches.insert(Watches.end(), &self);
+  while (indexOf(key, recurse) <= after && !cut())
+    if (self.Changed.wait_until(guard, end) == std::cv_status::timeout)
+      break;
+  Watches.erase(place);
+}
+
+void KvStore::touch(const std::string &key, KvEntry &it) {
+  it.ModifyIndex = ++Index;
+  for (auto *w : Watches)
+    if (w->Recurse ? startsWith(key, w->Key) : key == w->Key)
+      w->Changed.notify_all();
+}
+
+bool KvStore::put(const KvWrite &w) {
+  std::lock_guard<std::mutex> guard(Lock);
+  for (const auto &id : {w.Acquire, w.Release})
+    if (!id.empty() && Sessions.count(id) == 0)
+      throw Poco::NotFoundException("invalid session", id);
+  auto found = Entries.find(w.Key);
+  bool exists = found != Entries.end() && !found->second.Deleted;
+  if (w.Cas &&
+      (*w.Cas == 0 ? exists : !exists || found->second.ModifyIndex != *w.Cas))
+    return false;
+  const std::string holder = exists ? found->second.Session : "";
+  if (!w.Acquire.empty() && !holder.empty() && holder != w.Acquire)
+    return false;
+  if (!w.Release.empty() && holder != w.Release)
+    return false;
+
+  KvEntry next = exists ? found->second : KvEntry();
+  next.Value = w.Value;
+  next.Flags = w.Flags;
+  if (!w.Acquire.empty() && holder != w.Acquire) {
+    next.Session = w.Acquire;
+    ++next.LockIndex;
+  }
+  if (!w.Release.empty())
+    next.Session.clear();
+  // The published store does not count a write that changes nothing.
+  if (exists && next.Value == found->second.Value &&
+      next.Flags == found->second.Flags && next.Session == holder)
+    return true;
+  if (!exists)
+    next.CreateIndex = Index + 1;
+  auto &slot = Entries[w.Key];
+  slot = next;
+  touch(w.Key, slot);
+  return true;
+}
+
+bool KvStore::remove(const std::string &key, bool recurse,
+                     std::optional<std::uint64_t> cas) {
+  std::lock_guard<std::mutex> guard(Lock);
+  if (cas) {
+    auto it = Entries.find(key);
+    if (it == Entries.end() || it->second.Deleted)
+      return true;
+    if (it->second.ModifyIndex != *cas)
+      return false;
+  }
+  for (auto it = Entries.lower_bound(key);
+       it != Entries.end() &&
+       (recurse ? startsWith(it->first, key) : it->first == key);
+       ++it) {
+    if (it->second.Deleted)
+      continue;
+    it->second = KvEntry();
+    it->second.Deleted = true;
+    touch(it->first, it->second);
+  }
+  return true;
+}
+
+std::string KvStore::createSession(std::chrono::milliseconds ttl,
+                                   bool deleteOnExpiry) {
+  auto id = Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+  std::lock_guard<std::mutex> guard(Lock);
+  Sessions[id] = {ttl, deleteOnExpiry, Clock::now() + ttl};
+  return id;
+}
+
+bool KvStore::renewSession(const std::string &id) {
+  std::lock_guard<std::mutex> guard(Lock);
+  auto it = Sessions.find(id);
+  if (it == Sessions.end())
+    return false;
+  it->second.Expires = Clock::now() + it->second.Ttl;
+  return true;
+}
+
+bool KvStore::destroySession(const std::string &id) {
+  std::lock_guard<std::mutex> guard(Lock);
+  if (Sessions.count(id) == 0)
+    return false;
+  endSession(id);
+  return true;
+}
+
+void KvStore::endSession(const std::string &id) {
+  bool erase = Sessions[id].DeleteOnExpiry;
+  Sessions.erase(id);
+  for (auto &it : Entries) {
+    if (it.second.Session != id)
+      continue;
+    if (erase) {
+      it.second = KvEntry();
+      it.second.Deleted = true;
+    }
+    it.second.Session.clear();
+    touch(it.first, it.second);
+  }
+}
+
+void KvStore::expireSessions() {
+  std::lock_guard<std::mutex> guard(Lock);
+  std::vector<std::string> ended;
+  for (auto &it : Sessions)
+    if (it.second.Ttl.count() > 0 && it.second.Expires <= Clock::now())
+      ended.push_back(it.first);
+  for (auto &id : ended)
+    endSession(id);
+}
+
+void KvStore::snapshot() {
+  std::lock_guard<std::mutex> guard(Lock);
+  Kept = Entries;
+  HasSnapshot = true;
+}
+
+bool KvStore::rollback() {
+  std::lock_guard<std::mutex> guard(Lock);
+  if (!HasSnapshot)
+    return false;
+  for (auto &it : Entries) {
+    auto old = Kept.find(it.first);
+    if (old != Kept.end() && old->second.ModifyIndex == it.second.ModifyIndex)
+      continue;
+    bool deleted = old == Kept.end() || old->second.Deleted;
+    if (deleted && it.second.Deleted)
+      continue;
+    it.second = deleted ? KvEntry() : old->second;
+    it.second.Deleted = deleted;
+    if (Sessions.count(it.second.Session) == 0)
+      it.second.Session.clear();
+    touch(it.first, it.second);
+  }
+  return true;
+}
+
+void KvStore::wakeAll() {
+  std::lock_guard<std::mutex> guard(Lock);
+  for (auto *w : Watches)
+    w->Changed.notify_all();
+}
+
+} // namespace savorylb::standin
--- /dev/null
+++ b/src/standins/kvstandin/store_interface.h
@@ -0,0 +1,21 @@
+#ifndef SAVORYLB_STANDINS_STORE_INTERFACE_H
+#define SAVORYLB_STANDINS_STORE_INTERFACE_H
+
+#include "store_state.h"
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+namespace savorylb::standin {
+
+/// Answers a call on the data port: keys, sessions and the VM list.
+void answerStoreCall(StoreState &state, Poco::Net::HTTPServerRequest &req,
+                     Poco::Net::HTTPServerResponse &resp);
+
+/// Answers a call on the control port.
+void answerControlCall(StoreState &state, Poco::Net::HTTPServerRequest &req,
+                       Poco::Net::HTTPServerResponse &resp);
+
+} // namespace savorylb::standin
+
+#endif // SAVORYLB_STANDINS_STORE_INTERFACE_H
--- /dev/null
+++ b/src/standins/kvstandin/store_state.h
@@ -0,0 +1,21 @@
+#ifndef SAVORYLB_STANDINS_STORE_STATE_H
+#define SAVORYLB_STANDINS_STORE_STATE_H
+
+#include "call_counter.h"
+#include "kv_store.h"
+#include "store_faults.h"
+#include "vm_list.h"
+
+namespace savorylb::standin {
+
+/// Everything that the two ports of the program share.
+struct StoreState {
+  KvStore Store;
+  VmList Vms;
+  StoreFaults Faults;
+  CallCounter Calls;
+};
+
+} // namespace savorylb::standin
+
+#endif // SAVORYLB_STANDINS_STORE_STATE_H
