--- /dev/null
+++ b/src/standins/targetstandin/connection_epochs.cpp
@@ -0,0 +1,32 @@
+#include "connection_epochs.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+namespace savorylb::standin {
+
+bool ConnectionEpochs::accept(const Poco::Net::StreamSocket &socket) {
+  try {
+    auto peer = socket.peerAddress().toString();
+    std::lock_guard<std::mutex> guard(Lock);
+    Peers[peer] = Epoch;
+    return true;
+  } catch (const Poco::Exception &) {
+    // The peer is already gone.
+    return false;
+  }
+}
+
+void ConnectionEpochs::silence() {
+  std::lock_guard<std::mutex> guard(Lock);
+  ++Epoch;
+}
+
+bool ConnectionEpochs::isSilent(const std::string &peer) const {
+  std::lock_guard<std::mutex> guard(Lock);
+  auto it = Peers.find(peer);
+  return it != Peers.end() && it->second < Epoch;
+}
+
+} // namespace savorylb::standin
--- /dev/null
+++ b/src/standins/targetstandin/slot_gate.h
@@ -0,0 +1,54 @@
+#ifndef SAVORYLB_STANDINS_SLOT_GATE_H
+#define SAVORYLB_STANDINS_SLOT_GATE_H
+
+#include "load_history.h"
+#include "slot_entry.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <list>
+#include <mutex>
+
+namespace savorylb::standin {
+
+/// The slots of a target and the queue before them. Requests whose connection
+/// has been closed free their slot at once.
+class SlotGate {
+public:
+  using Clock = std::chrono::steady_clock;
+
+  explicit SlotGate(int slots) : Slots(slots) {}
+
+  /// Waits for a slot.
+  /// \param fd connection of the request; identifies it until `leave`.
+  SlotEntry enter(int fd, Clock::time_point deadline);
+  /// Frees the slot. A slot that was freed when the connection closed is left
+  /// alone.
+  void leave(int fd);
+
+  void setSlots(int n);
+  int slots() const;
+  int busy() const;
+  int busyAt(Clock::time_point t) const;
+  std::uint64_t overSlots() const;
+  std::uint64_t highest() const;
+  void resetCounts();
+
+private:
+  void freeClosed();
+  bool full() const;
+
+  mutable std::mutex Lock;
+  std::condition_variable Freed;
+  int Slots;
+  std::list<int> Active;
+  std::list<int> Queue;
+  LoadHistory History;
+  std::uint64_t Over = 0;
+  std::uint64_t Highest = 0;
+};
+
+} // namespace savorylb::standin
+
+#endif // SAVORYLB_STANDINS_SLOT_GATE_H
--- /dev/null
+++ b/src/standins/targetstandin/target_spec.h
@@ -0,0 +1,20 @@
+#ifndef SAVORYLB_STANDINS_TARGET_SPEC_H
+#define SAVORYLB_STANDINS_TARGET_SPEC_H
+
+#include <string>
+
+namespace savorylb::standin {
+
+/// What a target is started as.
+struct TargetSpec {
+  std::string Name;
+  int Port = 0;
+  int Slots = 1;
+  std::string Version = "v1";
+  std::string Zone;
+  std::string Service;
+};
+
+} // namespace savorylb::standin
+
+#endif // SAVORYLB_STANDINS_TARGET_SPEC_H
