--- /dev/null
+++ b/src/standins/loadgen/main.cpp
@@ -0,0 +1,70 @@
+#include "generator.h"
+#include "http_io.h"
+#include "load_options.h"
+#include "report_table.h"
+
+#include <CLI/CLI.hpp>
+#include <Poco/Exception.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+using namespace savorylb::standin;
+
+namespace {
+
+constexpr int MaxThreads = 200;
+
+void generate(LoadOptions opt) {
+  if (opt.RunId.empty())
+    opt.RunId =
+        std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count());
+  opt.Threads = std::min(opt.Threads, opt.MaxInFlight);
+  Generator it(opt, readPlan(opt.PlanFile));
+  std::ofstream file;
+  if (!opt.ReportFile.empty()) {
+    file.open(opt.ReportFile);
+    if (!file)
+      throw Poco::OpenFileException(opt.ReportFile);
+  }
+  it.run();
+  auto summary = it.report(false);
+  if (file.is_open())
+    file << compactJson(it.report(true)) << '\n';
+  std::cout << compactJson(summary) << std::endl;
+  std::cerr << reportTable(summary);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  LoadOptions opt;
+  CLI::App app("Generates traffic and reports the outcome of each request");
+  app.add_option("--daemon", opt.Daemons, "host:port of a daemon")->required();
+  app.add_option("--plan", opt.PlanFile, "file with the streams")->required();
+  app.add_option("--seconds", opt.Seconds, "length of the run")
+      ->required()
+      ->check(CLI::PositiveNumber);
+  app.add_option("--seed", opt.Seed, "seed of arrivals and repeats");
+  app.add_option("--report", opt.ReportFile, "file for the whole report");
+  app.add_option("--max-in-flight", opt.MaxInFlight, "bound on open requests")
+      ->check(CLI::PositiveNumber);
+  app.add_option("--threads", opt.Threads, "client threads")
+      ->check(CLI::Range(1, MaxThreads));
+  app.add_option("--run-id", opt.RunId, "part of all identities");
+  app.add_flag("--no-lookup", opt.Direct,
+               "use the daemons in order without a lookup");
+  CLI11_PARSE(app, argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    generate(opt);
+  } catch (const Poco::Exception &e) {
+    std::cerr << "loadgen: " << e.displayText() << std::endl;
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/src/standins/loadgen/report_table.h
@@ -0,0 +1,16 @@
+#ifndef SAVORYLB_STANDINS_REPORT_TABLE_H
+#define SAVORYLB_STANDINS_REPORT_TABLE_H
+
+#include <json/json.h>
+
+#include <string>
+
+namespace savorylb::standin {
+
+/// \param report summary of a run.
+/// \returns a table with one row for each stream and one for the totals.
+std::string reportTable(const Json::Value &report);
+
+} // namespace savorylb::standin
+
+#endif // SAVORYLB_STANDINS_REPORT_TABLE_H
--- /dev/null
+++ b/src/standins/loadgen/second_counts.cpp
@@ -0,0 +1,36 @@
+#include "second_counts.h"
+
+namespace savorylb::standin {
+
+void SecondCounts::addEnd(const RequestRecord &rec) {
+  switch (rec.End) {
+  case Outcome::Done:
+    ++Done;
+    break;
+  case Outcome::NotRun:
+    ++NotRun;
+    break;
+  case Outcome::Unknown:
+    ++Unknown;
+    break;
+  case Outcome::Lost:
+    ++Lost;
+    break;
+  }
+  Wrong += rec.Wrong;
+  Truncated += rec.Truncated;
+  Failed += rec.Failed;
+}
+
+void SecondCounts::write(Json::Value &out) const {
+  out["sent"] = static_cast<Json::UInt64>(Sent);
+  out["done"] = static_cast<Json::UInt64>(Done);
+  out["not_run"] = static_cast<Json::UInt64>(NotRun);
+  out["unknown"] = static_cast<Json::UInt64>(Unknown);
+  out["lost"] = static_cast<Json::UInt64>(Lost);
+  out["wrong"] = static_cast<Json::UInt64>(Wrong);
+  out["truncated"] = static_cast<Json::UInt64>(Truncated);
+  out["failed"] = static_cast<Json::UInt64>(Failed);
+}
+
+} // namespace savorylb::standin
