--- /dev/null
+++ b/testsuite/fleet.sh
@@ -0,0 +1,150 @@
+# Functions of the whole-program tests: starts a deployment with its stand-ins
+# on loopback and checks figures. Sourced by the *.test.sh scripts and the demo.
+set -uo pipefail
+
+declare -A PIDS=()
+FAILURES=0
+BIN=${1:?folder of the built programs}
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+WORK=$(mktemp -d)
+
+# Chooses a deployment: marine or cooperative.
+use_deployment() {
+  DEPLOYMENT=$1
+  DEPLOY=$ROOT/deploy/$1
+  case $1 in
+  marine) STORE_PORT=8500 ;;
+  cooperative) STORE_PORT=8600 ;;
+  esac
+  STORE=http://127.0.0.1:$STORE_PORT
+  STORE_CONTROL=http://127.0.0.1:$((STORE_PORT + 1))/control
+  TARGET_CONTROL=http://127.0.0.1:$((STORE_PORT + 2))/control
+  mapfile -t VMS < <(jq -r '.vms[].name' "$DEPLOY/vms.json")
+}
+
+stop_all() {
+  for it in "${!PIDS[@]}"; do
+    kill -CONT "${PIDS[$it]}" 2>/dev/null
+    kill -KILL "${PIDS[$it]}" 2>/dev/null
+  done
+  wait 2>/dev/null
+  [ -n "${KEEP_WORK:-}" ] && echo "logs: $WORK" || rm -rf "$WORK"
+}
+trap stop_all EXIT
+
+ask() { curl -s -m 10 "$@"; }
+put() { curl -s -m 10 -X PUT "$@" > /dev/null; }
+ctl() { "$BIN/savoryctl/savoryctl" --store "$STORE" "$@"; }
+vm_port() { jq -r ".$2" "$DEPLOY/vm-$1.json"; }
+admin() { echo "127.0.0.1:$(vm_port "$1" admin_port)"; }
+caller() { echo "127.0.0.1:$(vm_port "$1" caller_port)"; }
+status() { ask "http://$(admin "$1")/v1/status"; }
+now_ms() { date +%s%3N; }
+
+# Waits for a command to succeed: await SECONDS WHAT COMMAND...
+await() {
+  local limit=$(($(now_ms) + $1 * 1000)) what=$2
+  shift 2
+  until "$@" > /dev/null 2>&1; do
+    if [ "$(now_ms)" -gt "$limit" ]; then
+      echo "FAILED: waited in vain for $what"
+      FAILURES=$((FAILURES + 1))
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+start_store() {
+  "$BIN/standins/kvstandin" --port "$STORE_PORT" --control-port $((STORE_PORT + 1)) \
+    --vms "$DEPLOY/vms.json" > "$WORK/store.log" 2>&1 &
+  PIDS[store]=$!
+  await 10 "the store" ask "$STORE_CONTROL/counts"
+}
+
+# start_targets SERVICE_MS [LIST]
+start_targets() {
+  "$BIN/standins/targetstandin" --list "${2:-$DEPLOY/targets.json}" \
+    --control-port $((STORE_PORT + 2)) --service-ms "$1" --seed 1 \
+    --forbidden-value demo-key-not-secret > "$WORK/targets.log" 2>&1 &
+  PIDS[targets]=$!
+  await 10 "the targets" ask "$TARGET_CONTROL/counts"
+}
+
+# start_vm NAME: settings of the deployment with the extra fields of $VM_EXTRA.
+start_vm() {
+  jq ". + {log_file: \"$WORK/$1.log\"} + ${VM_EXTRA:-{\}}" "$DEPLOY/vm-$1.json" > "$WORK/$1.json"
+  "$BIN/savorylbd/savorylbd" --config "$WORK/$1.json" >> "$WORK/$1.err" 2>&1 &
+  PIDS[$1]=$!
+}
+
+is_serving() {
+  status "$1" | jq -e '.membership.member and .membership.lease_held and .membership.rate_ppm > 0' > /dev/null
+}
+
+# Starts the whole deployment: start_fleet SERVICE_MS [CONFIG] [TARGETS]
+start_fleet() {
+  start_store
+  start_targets "$1" "${3:-}"
+  ctl apply "${2:-$DEPLOY/config.json}" > "$WORK/apply.log" 2>&1 || cat "$WORK/apply.log"
+  ctl keys import "$DEPLOY/keys.json" > "$WORK/keys.log" 2>&1 || cat "$WORK/keys.log"
+  for it in "${VMS[@]}"; do start_vm "$it"; done
+  for it in "${VMS[@]}"; do await 30 "$it to serve" is_serving "$it"; done
+  # Slots of newly owned targets open with the first load reports, and buckets
+  # start empty.
+  sleep "${SETTLE:-4}"
+}
+
+# load SECONDS PLAN REPORT [VM...]: runs traffic in the background as job `load`.
+start_load() {
+  local seconds=$1 plan=$2 report=$3
+  shift 3
+  local daemons=()
+  for it in "${@:-${VMS[@]}}"; do daemons+=(--daemon "$(caller "$it")"); done
+  "$BIN/standins/loadgen" "${daemons[@]}" --plan "$plan" --seconds "$seconds" \
+    --threads 200 --max-in-flight 400 --seed "${SEED:-7}" --report "$report" \
+    > "$report.out" 2> "$report.table" &
+  PIDS[load]=$!
+}
+finish_load() {
+  wait "${PIDS[load]}"
+  unset 'PIDS[load]'
+}
+
+# check DESCRIPTION JQ_CONDITION FILE: prints the figures when it fails.
+check() {
+  if jq -e "$2" "$3" > /dev/null 2>&1; then
+    echo "ok: $1"
+  else
+    echo "FAILED: $1: $2"
+    FAILURES=$((FAILURES + 1))
+  fi
+}
+check_equal() { # description, expected, got
+  if [ "$2" = "$3" ]; then echo "ok: $1"; else
+    echo "FAILED: $1: expected '$2', got '$3'"
+    FAILURES=$((FAILURES + 1))
+  fi
+}
+check_at_most() { # description, bound, got
+  if [ "${3:-}" != "" ] && [ "$3" -le "$2" ]; then echo "ok: $1: $3 (at most $2)"; else
+    echo "FAILED: $1: got '${3:-}', at most $2"
+    FAILURES=$((FAILURES + 1))
+  fi
+}
+
+# Checks what must hold in every run, from the targets' own counts.
+check_targets() {
+  ask "$TARGET_CONTROL/counts" > "$WORK/targets.json"
+  check "no target over its slots" '.totals.over_slots == 0' "$WORK/targets.json"
+  check "no second execution" '.totals.second_executions == 0' "$WORK/targets.json"
+  check "no key seen by a target" '.totals.keys_seen == 0' "$WORK/targets.json"
+}
+
+finish() {
+  if [ "$FAILURES" -gt 0 ]; then
+    echo "$FAILURES checks failed"
+    exit 1
+  fi
+  echo "all checks passed"
+}
--- /dev/null
+++ b/testsuite/plan.jq
@@ -0,0 +1,24 @@
+# Makes a traffic plan from a deployment's configuration and keys: each team
+# calls each of its services at $part of its rate.
+# jq -n --slurpfile c config.json --slurpfile k keys.json --argjson part 0.5 -f plan.jq
+def services($config; $team):
+  ($team.services // $team.parameters.services //
+   (($config.templates // {})[$team.template // ""].services)) | if type == "array" then . else [] end;
+def rate($config; $team):
+  ($team.rate // $team.parameters.rate // (($config.templates // {})[$team.template // ""].rate)) | tonumber;
+$c[0] as $config | $k[0] as $keys |
+{streams: [
+  $config.teams[] as $team
+  | services($config; $team) as $names
+  | rate($config; $team) as $rate
+  | $names[] as $name
+  | ($config.services[] | select(.name == $name)) as $service
+  | ($service.execution == "at-most-once") as $once
+  | {team: $team.name, service: $name,
+     key: ($keys[] | select(.team == $team.name) | .key),
+     rate: ($rate * $part / ($names | length)),
+     method: (if $once or $name == "uploads" then "POST" else "GET" end),
+     path: "/\($name)/item", deadline_ms: 3000,
+     body_bytes: (if $name == "uploads" then 100000 elif $once then 300 else 0 end),
+     at_most_once: $once, repeat_ppm: (if $once then 20000 else 0 end)}
+  | select($only == "" or $only == .service)]}
