--- a/src/include/savorylb/settings.h
+++ b/src/include/savorylb/settings.h
@@ -36,7 +36,7 @@
   Duration DefaultDeadline = Seconds(5);
   int CallerThreads = 64;
   int MaxCallerConnections = 1024;
-  ByteCount MaxHeaderBytes{32 * 1024};
+  ByteCount MaxHeaderBytes{std::int64_t{32} * 1024};
   std::string LogFile;
   /// Writes one line for each routing decision.
   bool LogDecisions = true;
--- a/src/libsavorylb/config_network.cpp
+++ b/src/libsavorylb/config_network.cpp
@@ -105,18 +105,18 @@
 
 // \returns what is wrong with a block, or an empty text.
 std::string cidrMistake(const std::string &text) {
-  const std::string shape = "expected an IPv4 block such as 10.1.0.0/16";
+  constexpr const char *Shape = "expected an IPv4 block such as 10.1.0.0/16";
   std::uint32_t address = 0;
   std::size_t at = 0;
   for (int i = 0; i < 4; ++i) {
     std::optional<std::uint32_t> octet = readOctet(text, at, 255);
     if (!octet || at >= text.size() || text[at++] != (i < 3 ? '.' : '/'))
-      return shape;
+      return Shape;
     address = address << 8 | *octet;
   }
   std::optional<std::uint32_t> length = readOctet(text, at, 32);
   if (!length || at != text.size())
-    return shape;
+    return Shape;
   std::uint64_t hosts = (std::uint64_t{1} << (32 - *length)) - 1;
   return (address & hosts) == 0 ? "" : "address bits are set beyond the prefix";
 }
--- a/src/libsavorylb/settings.cpp
+++ b/src/libsavorylb/settings.cpp
@@ -100,7 +100,7 @@
                                       out.MaxCallerConnections, 1, 1'000'000));
   out.MaxHeaderBytes =
       ByteCount(fields.integer("max_header_bytes", Need::Optional,
-                               out.MaxHeaderBytes.Value, 1024, 1024 * 1024));
+                               out.MaxHeaderBytes.Value, 1024, 1'048'576));
   out.LogFile = fields.text("log_file", Need::Optional, out.LogFile);
   out.LogDecisions = fields.flag("log_decisions", out.LogDecisions);
   fields.finish();
--- a/src/libsavorylb/utc_time.cpp
+++ b/src/libsavorylb/utc_time.cpp
@@ -52,9 +52,9 @@
   if (year < 1970 || month < 1 || month > 12 || day < 1 ||
       day > daysInMonth(year, month) || hour > 23 || minute > 59 || second > 59)
     return std::nullopt;
-  std::int64_t seconds = daysFromCivil(year, month, day) * 86400 + hour * 3600 +
-                         minute * 60 + second;
-  return WallTime(Millis(seconds * 1000));
+  std::int64_t minutes =
+      daysFromCivil(year, month, day) * 1440 + std::int64_t{hour} * 60 + minute;
+  return WallTime(Millis((minutes * 60 + second) * 1000));
 }
 
 } // namespace savorylb
