Follow the library's rules for undecided writes of the owner map

The ownership module keeps what an undecided write gives away unusable and asks a new successor for its lease before it is named. The daemon now does the same and reads the store back after each write.

--- a/src/include/savorylb/slot_table.h
+++ b/src/include/savorylb/slot_table.h
@@ -74,9 +74,6 @@
 void adoptTarget(SlotTable &table, const TargetSpec &spec, bool inherited,
                  MonoTime now);
 
-/// Takes over changed settings of an owned target.
-void updateTarget(SlotTable &table, const TargetSpec &spec, MonoTime now);
-
 /// Stops owning a target; requests in flight end on their own.
 /// \returns how many slots were still granted.
 int dropTarget(SlotTable &table, const TargetId &target);
--- a/src/savorylbd/caller_server.cpp
+++ b/src/savorylbd/caller_server.cpp
@@ -230,9 +230,8 @@
   }
   query.ClientAddress = *address;
   SnapshotPtr snapshot = currentSnapshot(daemon);
-  VmViews vms = knownVms(daemon);
   LookupAnswer answer =
-      lookUp(snapshot->Conf, snapshot->Blocks, *vms, query, monoNow());
+      lookUp(*lookupIndex(daemon), snapshot->Blocks, query, monoNow());
   if (!answer.IdentityPrefix.empty())
     answer.IdentityPrefix = stampedPrefix(daemon, answer.IdentityPrefix);
   countEvent("lookups");
--- a/src/savorylbd/document_state.cpp
+++ b/src/savorylbd/document_state.cpp
@@ -211,7 +211,7 @@
   return daemon.Documents.Documents;
 }
 
-void noteStoreContact(Daemon &daemon, bool reached) {
+void noteStoreContact(Daemon &daemon, bool reached, MonoTime askedAt) {
   bool changed = false;
   {
     std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
@@ -223,6 +223,10 @@
       state.ListedOnce = true;
     }
   }
+  if (reached) {
+    std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
+    confirmStore(daemon.Membership.Own, askedAt);
+  }
   if (changed)
     logEvent(reached ? EventCode::StoreReachable : EventCode::StoreUnreachable,
              {});
--- a/src/savorylbd/document_state.h
+++ b/src/savorylbd/document_state.h
@@ -64,7 +64,10 @@
 std::map<std::string, CachedDocument> heldDocuments(Daemon &daemon);
 
 /// Records whether the store answered.
-void noteStoreContact(Daemon &daemon, bool reached);
+/// \param daemon the daemon.
+/// \param reached whether it answered.
+/// \param askedAt when it was asked.
+void noteStoreContact(Daemon &daemon, bool reached, MonoTime askedAt);
 
 /// \returns the document key of a zone's owner map.
 std::string zoneKey(const ZoneId &zone);
--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -91,8 +91,10 @@
       fillView(it, monoNow(), out);
 }
 
+/// \param peer the peer.
+/// \param source name and incarnation: a restarted peer counts from zero again.
 void takeEvidence(
-    Daemon &daemon, const VmId &peer,
+    Daemon &daemon, const VmId &peer, const VmId &source,
     const google::protobuf::RepeatedPtrField<peer::RolloutEvidence> &in) {
   for (const peer::RolloutEvidence &it : in) {
     std::vector<std::shared_ptr<RolloutShard>> shards;
@@ -109,7 +111,7 @@
                              it.new_failed()};
       VersionCounts slowness{it.old_total(), it.old_slow(), it.new_total(),
                              it.new_slow()};
-      if (mergeEvidence(shard->State, peer, RouteId(it.route()), failures,
+      if (mergeEvidence(shard->State, source, RouteId(it.route()), failures,
                         slowness, it.stop()))
         logEvent(EventCode::RolloutStopped,
                  {{"rollout", it.rollout()},
@@ -140,7 +142,8 @@
   for (const peer::VmState &it : message.others())
     mergeView(daemon, readView(it, sentAt));
   takeRevisions(daemon, name, message.revisions());
-  takeEvidence(daemon, name, message.evidence());
+  VmId source(name.Value + "/" + state.info().incarnation());
+  takeEvidence(daemon, name, source, message.evidence());
 }
 
 void sendHeartbeat(Daemon &daemon, const PeerAddress &peer) {
@@ -182,17 +185,15 @@
   return result;
 }
 
-/// Looks whether a member of the own zone is gone for good.
-void lookForProof(Daemon &daemon, const VmId &vm, const ZoneMember &member) {
-  if (!refusesConnections(member.PeerEndpoint))
-    return;
+/// Records proof that an incarnation is gone for good.
+void noteProof(Daemon &daemon, const VmId &vm, const Incarnation &life) {
   MembershipState &state = daemon.Membership;
   std::lock_guard<std::mutex> guard(state.Lock);
-  state.ProvedDead.insert({vm, member.Life});
-  auto self = state.Doc.Members.find(daemon.Conf.Vm);
-  if (self != state.Doc.Members.end() && self->second.Successor == vm &&
-      self->second.SuccessorLife == member.Life)
-    markSuccessorDead(state.Own);
+  MonoTime now = monoNow();
+  state.ProvedDeadAt.try_emplace({vm, life}, now);
+  if (state.Own.Successor == vm && state.Own.SuccessorLife == life)
+    markSuccessorDead(state.Own, now);
+  markCandidateDead(state.Own, vm, life, now);
 }
 
 /// Members whose heartbeats stopped may have died.
@@ -209,12 +210,8 @@
     bool replaced = it != vms->end() && it->Life != member.Life &&
                     it->PeerEndpoint == member.PeerEndpoint &&
                     now - it->AsOf <= VmSilenceLimit;
-    if (replaced) {
-      std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
-      daemon.Membership.ProvedDead.insert({vm, member.Life});
-    } else if (!heard) {
-      lookForProof(daemon, vm, member);
-    }
+    if (replaced || (!heard && refusesConnections(member.PeerEndpoint)))
+      noteProof(daemon, vm, member.Life);
   }
 }
 
@@ -255,42 +252,45 @@
   }
 }
 
+bool askForLease(Daemon &daemon, const PeerAddress &peer,
+                 const Incarnation &life) {
+  peer::RenewRequest request;
+  request.mutable_holder()->set_vm(daemon.Conf.Vm.Value);
+  request.mutable_holder()->set_incarnation(daemon.Life.Value);
+  request.set_successor_incarnation(life.Value);
+  peer::RenewReply reply;
+  if (!callRenew(daemon, peer, request, reply))
+    return false;
+  // Another process answers where that incarnation listened.
+  if (reply.incarnation() != life.Value)
+    noteProof(daemon, peer.Vm, life);
+  return reply.granted();
+}
+
 void renewOwnLease(Daemon &daemon) {
   ZoneDocument doc;
+  std::vector<std::pair<VmId, Incarnation>> grantors;
   {
-    std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
-    doc = daemon.Membership.Doc;
-  }
-  auto self = doc.Members.find(daemon.Conf.Vm);
-  if (self == doc.Members.end() || self->second.Life != daemon.Life) {
-    probeSilentMembers(daemon, doc);
-    return;
+    MembershipState &state = daemon.Membership;
+    std::lock_guard<std::mutex> guard(state.Lock);
+    doc = state.Doc;
+    if (state.Member && !state.Own.Successor.empty())
+      grantors.emplace_back(state.Own.Successor, state.Own.SuccessorLife);
+    for (const auto &[member, candidate] : state.Own.Candidates)
+      grantors.push_back(member);
   }
-  auto successor = doc.Members.find(self->second.Successor);
-  if (successor != doc.Members.end()) {
-    const ZoneMember &member = successor->second;
-    peer::RenewRequest request;
-    request.mutable_holder()->set_vm(daemon.Conf.Vm.Value);
-    request.mutable_holder()->set_incarnation(daemon.Life.Value);
-    request.set_successor_incarnation(self->second.SuccessorLife.Value);
-    peer::RenewReply reply;
+  for (const auto &[vm, life] : grantors) {
+    auto member = doc.Members.find(vm);
+    if (member == doc.Members.end())
+      continue;
     MonoTime sentAt = monoNow();
-    PeerAddress peer{successor->first, member.PeerEndpoint};
-    bool reached = callRenew(daemon, peer, request, reply);
-    std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
+    if (!askForLease(daemon, {vm, member->second.PeerEndpoint}, life))
+      continue;
     MembershipState &state = daemon.Membership;
-    auto current = state.Doc.Members.find(daemon.Conf.Vm);
-    bool sameSuccessor =
-        current != state.Doc.Members.end() &&
-        current->second.Successor == self->second.Successor &&
-        current->second.SuccessorLife == self->second.SuccessorLife;
-    if (reached && reply.granted() && sameSuccessor)
+    std::lock_guard<std::mutex> guard(state.Lock);
+    if (state.Own.Successor == vm && state.Own.SuccessorLife == life)
       renewLease(state.Own, sentAt, state.Times);
-    if (reached && sameSuccessor &&
-        reply.incarnation() != self->second.SuccessorLife.Value) {
-      state.ProvedDead.insert({peer.Vm, self->second.SuccessorLife});
-      markSuccessorDead(state.Own);
-    }
+    renewCandidate(state.Own, vm, life, sentAt, state.Times);
   }
   probeSilentMembers(daemon, doc);
 }
--- a/src/savorylbd/heartbeat.h
+++ b/src/savorylbd/heartbeat.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_SAVORYLBD_HEARTBEAT_H
 
 #include "peer.pb.h"
+#include "peer_calls.h"
 
 namespace savorylb {
 
@@ -18,6 +19,14 @@
 /// Pulls documents of which peers hold higher revisions.
 void pullNewerDocuments(Daemon &daemon);
 
+/// Asks one VM for a lease.
+/// \param daemon the daemon.
+/// \param peer the VM.
+/// \param life the incarnation that must answer.
+/// \returns true when it was granted.
+bool askForLease(Daemon &daemon, const PeerAddress &peer,
+                 const Incarnation &life);
+
 /// Asks the successor for a lease, and looks for proof of death of the
 /// successor and of the VM that this one may take over.
 void renewOwnLease(Daemon &daemon);
--- a/src/savorylbd/ledger_shards.cpp
+++ b/src/savorylbd/ledger_shards.cpp
@@ -261,8 +261,13 @@
         index < doc.QuarantinedAt.size() ? doc.QuarantinedAt[index] : 0;
     VmId owner = index < previous.Partitions.size() ? previous.Partitions[index]
                                                     : VmId();
-    if (before.count(p) == 0)
+    if (before.count(p) == 0) {
       adoptPartition(daemon, p, owner, quarantinedAt);
+    } else if (quarantinedAt == 0) {
+      LedgerShard &shard = shardOf(daemon, p);
+      std::lock_guard<std::mutex> guard(shard.Lock);
+      shard.Own.QuarantineRevision = 0;
+    }
   }
   std::vector<int> now = ownedPartitions(doc, daemon.Conf.Vm, daemon.Life);
   for (int p : before) {
@@ -281,12 +286,18 @@
 
 void tickLedger(Daemon &daemon) {
   MonoTime now = monoNow();
-  for (LedgerShard &shard : daemon.Ledger.Partitions) {
+  std::set<int> over;
+  for (int p = 0; p < PartitionCount; ++p) {
+    LedgerShard &shard = shardOf(daemon, p);
     std::lock_guard<std::mutex> guard(shard.Lock);
+    if (shard.Own.QuarantineRevision > 0 && now >= shard.Own.QuarantinedUntil)
+      over.insert(p);
     expireOnce(shard.Own, daemon.Conf.IdentityRetention, now);
     for (auto &[holder, replica] : shard.Replicas)
       expireOnce(replica, daemon.Conf.IdentityRetention, now);
   }
+  std::lock_guard<std::mutex> guard(daemon.Ledger.Lock);
+  daemon.Ledger.QuarantineOver = std::move(over);
 }
 
 } // namespace savorylb
--- a/src/savorylbd/ledger_shards.h
+++ b/src/savorylbd/ledger_shards.h
@@ -35,6 +35,8 @@
   std::string SyncingEndpoint;
   /// VMs whose complete copy is held here, with their incarnation.
   std::map<VmId, Incarnation> CompleteReplicas;
+  /// Own partitions whose quarantine has lasted the retention time.
+  std::set<int> QuarantineOver;
 };
 
 /// What a forwarding VM asks a home VM.
--- a/src/savorylbd/membership_state.cpp
+++ b/src/savorylbd/membership_state.cpp
@@ -5,6 +5,9 @@
 #include "savorylb/event_log.h"
 #include "savorylb/metrics.h"
 
+#include <algorithm>
+#include <set>
+
 namespace savorylb {
 namespace {
 
@@ -13,35 +16,21 @@
   return it != doc.Members.end() && it->second.Life == daemon.Life;
 }
 
-const ZoneMember *findMember(const ZoneDocument &doc, const VmId &vm) {
-  auto it = doc.Members.find(vm);
-  return it == doc.Members.end() ? nullptr : &it->second;
-}
-
-bool successorDiffers(const ZoneDocument &a, const ZoneDocument &b,
-                      const VmId &vm) {
-  const ZoneMember *x = findMember(a, vm);
-  const ZoneMember *y = findMember(b, vm);
-  return !x || !y || x->Successor != y->Successor ||
-         x->SuccessorLife != y->SuccessorLife;
-}
-
 std::set<int> partitionsOf(const Daemon &daemon, const ZoneDocument &doc) {
   std::vector<int> owned = ownedPartitions(doc, daemon.Conf.Vm, daemon.Life);
   return {owned.begin(), owned.end()};
 }
 
-void confirmOwnLease(Daemon &daemon, const ZoneDocument &previous) {
-  MembershipState &state = daemon.Membership;
-  bool wasMember = state.Member;
-  state.Member = isMember(daemon, state.Doc);
-  if (!state.Member) {
-    state.Own.Lost = wasMember;
+/// Notices a pause of the process; the caller holds the lock.
+void tickOwnLease(MembershipState &state, MonoTime now) {
+  MonoTime before = state.Own.LastTick;
+  MonoTime noticedBefore = state.Own.PauseNoticedAt;
+  tickLease(state.Own, now, state.Times);
+  if (state.Own.PauseNoticedAt == noticedBefore)
     return;
-  }
-  const ZoneMember *self = findMember(state.Doc, daemon.Conf.Vm);
-  confirmLease(state.Own, !self->Successor.empty(),
-               successorDiffers(previous, state.Doc, daemon.Conf.Vm));
+  restartGrace(state.Grants, now);
+  countEvent("pauses");
+  logEvent(EventCode::PauseNoticed, {{"gap_us", (now - before).count()}});
 }
 
 } // namespace
@@ -50,7 +39,7 @@
   MembershipState &state = daemon.Membership;
   std::lock_guard<std::mutex> guard(state.Lock);
   MonoTime now = monoNow();
-  tickLease(state.Own, now, state.Times);
+  tickOwnLease(state, now);
   return state.Member && holdsLease(state.Own, now, state.Times);
 }
 
@@ -59,10 +48,9 @@
     return false;
   MembershipState &state = daemon.Membership;
   std::lock_guard<std::mutex> guard(state.Lock);
-  auto index = static_cast<std::size_t>(partition);
-  return index < state.Doc.Partitions.size() &&
-         state.Doc.Partitions[index] == daemon.Conf.Vm &&
-         state.ReleasingPartitions.count(partition) == 0;
+  std::vector<int> owned =
+      usablePartitions(state.Pending, state.Doc, daemon.Conf.Vm, daemon.Life);
+  return std::find(owned.begin(), owned.end(), partition) != owned.end();
 }
 
 void applyZoneDocument(Daemon &daemon, const ZoneDocument &doc,
@@ -77,7 +65,9 @@
     state.Doc = doc;
     if (storeIndex != 0)
       state.DocIndex = storeIndex;
-    confirmOwnLease(daemon, previous);
+    state.Member = isMember(daemon, doc);
+    settleChange(state.Pending, state.Grants, state.Own, doc, daemon.Conf.Vm,
+                 daemon.Life);
   }
   logEvent(EventCode::OwnershipChanged,
            {{"zone", doc.Zone.Value},
@@ -94,11 +84,10 @@
   Ppm rate;
   {
     std::lock_guard<std::mutex> guard(state.Lock);
-    for (const TargetId &it :
-         ownedTargets(state.Doc, daemon.Conf.Vm, daemon.Life))
-      if (state.ReleasingTargets.count(it) == 0)
-        owned.insert(it);
-    rate = ownedRate(state.Doc, daemon.Conf.Vm, daemon.Life);
+    std::vector<TargetId> usable =
+        usableTargets(state.Pending, state.Doc, daemon.Conf.Vm, daemon.Life);
+    owned.insert(usable.begin(), usable.end());
+    rate = usableRate(state.Pending, state.Doc, daemon.Conf.Vm, daemon.Life);
   }
   applyTargets(daemon, owned);
   applyRates(daemon, rate);
--- a/src/savorylbd/membership_state.h
+++ b/src/savorylbd/membership_state.h
@@ -4,10 +4,12 @@
 #include "savorylb/lease.h"
 #include "savorylb/lease_grants.h"
 #include "savorylb/ownership.h"
+#include "savorylb/pending_change.h"
 #include "savorylb/zone_document.h"
 
+#include <map>
 #include <mutex>
-#include <set>
+#include <utility>
 
 namespace savorylb {
 
@@ -24,11 +26,11 @@
   /// The document names this incarnation as a member.
   bool Member = false;
   bool WasLicensed = false;
-  std::set<std::pair<VmId, Incarnation>> ProvedDead;
-  /// Set while a write of the owner map is under way: nothing named in it is
-  /// used in the meantime.
-  std::set<TargetId> ReleasingTargets;
-  std::set<int> ReleasingPartitions;
+  /// Incarnations proved dead, and when that was first known.
+  std::map<std::pair<VmId, Incarnation>, MonoTime> ProvedDeadAt;
+  /// Writes of the owner map whose outcome is not known; nothing that they
+  /// give away is used in the meantime.
+  PendingChange Pending;
 };
 
 /// \returns true when this VM may use what it owns.
--- a/src/savorylbd/ownership_steps.cpp
+++ b/src/savorylbd/ownership_steps.cpp
@@ -1,6 +1,7 @@
 // Carries out changes of the owner map that the decision library plans.
 
 #include "daemon.h"
+#include "heartbeat.h"
 #include "peer_calls.h"
 #include "savorylb/clock.h"
 #include "savorylb/event_log.h"
@@ -18,7 +19,11 @@
 
 struct PlannedStep {
   OwnershipPlan Plan;
+  Revision Base;
   std::uint64_t Index = 0;
+  /// Writes before this one are undecided, so nothing can be taken back when
+  /// this one fails.
+  bool EarlierPending = false;
 };
 
 /// Counts a VM that was heard of within the silence limit as alive.
@@ -52,12 +57,20 @@
   view.Alive.insert(daemon.Conf.Vm);
   if (daemon.Departing)
     view.Departing.insert(daemon.Conf.Vm);
-  std::lock_guard<std::mutex> guard(daemon.Ledger.Lock);
-  for (const auto &[vm, life] : daemon.Ledger.CompleteReplicas)
-    view.CompleteReplicas.insert(vm);
   return view;
 }
 
+/// Counts a replica only when it is of the incarnation that the map names.
+void addReplicas(Daemon &daemon, OwnershipView &view) {
+  std::lock_guard<std::mutex> guard(daemon.Ledger.Lock);
+  for (const auto &[vm, life] : daemon.Ledger.CompleteReplicas) {
+    auto it = view.Doc.Members.find(vm);
+    if (it != view.Doc.Members.end() && it->second.Life == life)
+      view.CompleteReplicas.insert(vm);
+  }
+  view.QuarantineOver = daemon.Ledger.QuarantineOver;
+}
+
 PlannedStep planStep(Daemon &daemon, bool leaving) {
   OwnershipView view = makeView(daemon, leaving);
   SnapshotPtr snapshot = currentSnapshot(daemon);
@@ -70,38 +83,22 @@
   if (state.Doc.Zone.empty())
     state.Doc = makeZoneDocument(daemon.Conf.Zone, Ppm(WholePpm.Value / zones));
   view.Doc = state.Doc;
-  view.ProvedDead = state.ProvedDead;
+  addReplicas(daemon, view);
+  view.ProvedDeadAt = state.ProvedDeadAt;
+  for (const auto &[member, since] : state.ProvedDeadAt)
+    view.ProvedDead.insert(member);
   step.Index = state.DocIndex;
+  step.Base = state.Doc.Rev;
   step.Plan = planOwnership(view, state.Grants, monoNow(), state.Times);
-  const OwnershipPlan &plan = step.Plan;
-  if (plan.Step == OwnershipStep::TakeOver) {
-    auto it = state.Doc.Members.find(plan.Other);
-    if (it != state.Doc.Members.end())
-      beginTakeover(state.Grants, plan.Other, it->second.Life, monoNow());
-  }
-  state.ReleasingTargets.insert(plan.ReleasedTargets.begin(),
-                                plan.ReleasedTargets.end());
-  state.ReleasingPartitions.insert(plan.ReleasedPartitions.begin(),
-                                   plan.ReleasedPartitions.end());
   return step;
 }
 
-/// Stops using what the plan gives away, and lets requests in flight end.
-void releaseResources(Daemon &daemon, const OwnershipPlan &plan) {
-  if (!plan.ReleasedTargets.empty())
-    applyOwnership(daemon);
+/// Waits for requests in flight on targets that are given away.
+void letRequestsEnd(Daemon &daemon, const OwnershipPlan &plan) {
   MonoTime limit = monoNow() + HandOffPatience;
   for (const TargetId &it : plan.ReleasedTargets)
     while (grantsInFlight(daemon, it) > 0 && monoNow() < limit)
       std::this_thread::sleep_for(PollInterval);
-  if (plan.ReleasedRate > Ppm(0)) {
-    Ppm kept;
-    {
-      std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
-      kept = ownedRate(daemon.Membership.Doc, daemon.Conf.Vm, daemon.Life);
-    }
-    applyRates(daemon, kept - plan.ReleasedRate);
-  }
 }
 
 bool sendPartitions(Daemon &daemon, const OwnershipPlan &plan) {
@@ -119,68 +116,76 @@
   return true;
 }
 
-/// Brings the next successor up to date and gets a lease from it before it is
-/// named, so that there is no time without a lease.
+/// Gets a lease from the next successor and brings it up to date before it is
+/// named, so that there is no time without a lease or without a replica.
 bool prepareSuccessor(Daemon &daemon, const OwnershipPlan &plan,
                       MonoTime &grantedAt) {
-  auto self = plan.Next.Members.find(daemon.Conf.Vm);
-  if (self == plan.Next.Members.end() || self->second.Successor.empty())
-    return true;
-  auto it = plan.Next.Members.find(self->second.Successor);
-  if (it == plan.Next.Members.end())
-    return false;
-  const ZoneMember &successor = it->second;
-  peer::RenewRequest request;
-  request.mutable_holder()->set_vm(daemon.Conf.Vm.Value);
-  request.mutable_holder()->set_incarnation(daemon.Life.Value);
-  request.set_successor_incarnation(successor.Life.Value);
-  peer::RenewReply reply;
-  MonoTime sentAt = monoNow();
-  PeerAddress address{it->first, successor.PeerEndpoint};
-  if (!callRenew(daemon, address, request, reply) || !reply.granted())
+  const ZoneMember &successor = plan.Next.Members.at(plan.Other);
+  PeerAddress address{plan.Other, successor.PeerEndpoint};
+  grantedAt = monoNow();
+  return askForLease(daemon, address, successor.Life) &&
+         syncReplica(daemon, plan.Other, successor.Life,
+                     successor.PeerEndpoint);
+}
+
+/// Marks the change as begun unless the owner map has moved on.
+bool beginStep(Daemon &daemon, PlannedStep &step, MonoTime grantedAt) {
+  MembershipState &state = daemon.Membership;
+  std::lock_guard<std::mutex> guard(state.Lock);
+  if (state.Doc.Rev != step.Base)
     return false;
-  grantedAt = sentAt;
-  return syncReplica(daemon, it->first, successor.Life, successor.PeerEndpoint);
+  const OwnershipPlan &plan = step.Plan;
+  step.EarlierPending = state.Pending.Active;
+  beginChange(state.Pending, state.Grants, state.Own, plan, state.Doc,
+              monoNow());
+  if (plan.Step == OwnershipStep::NameSuccessor)
+    renewCandidate(state.Own, plan.Other, plan.Next.Members.at(plan.Other).Life,
+                   grantedAt, state.Times);
+  return true;
+}
+
+/// Takes back what beginStep() marked; only for a write that certainly did not
+/// take effect.
+void undoStep(Daemon &daemon, const PlannedStep &step) {
+  MembershipState &state = daemon.Membership;
+  {
+    std::lock_guard<std::mutex> guard(state.Lock);
+    if (step.EarlierPending || state.Doc.Rev != step.Base)
+      return;
+    const OwnershipPlan &plan = step.Plan;
+    state.Pending = PendingChange{};
+    state.Own.Candidates.clear();
+    auto it = state.Doc.Members.find(plan.Other);
+    if (plan.Step == OwnershipStep::TakeOver && it != state.Doc.Members.end())
+      abandonTakeover(state.Grants, plan.Other, it->second.Life);
+  }
+  applyOwnership(daemon);
 }
 
-/// \returns false when the change certainly did not take effect.
-bool writePlan(Daemon &daemon, const PlannedStep &step) {
+enum class WriteOutcome { Written, NotWritten, Undecided };
+
+WriteOutcome writePlan(Daemon &daemon, const PlannedStep &step) {
   std::string key = zoneKey(daemon.Conf.Zone);
   std::string content = formatZoneDocument(step.Plan.Next);
   Result<void> written = daemon.Store.CompareAndSwap(key, content, step.Index);
   // The reply may be lost after the write took effect, so the store is read
   // back in every case.
+  MonoTime askedAt = monoNow();
   Result<StoreValue> value = daemon.Store.Get(key);
+  bool own = false;
   if (value) {
-    noteStoreContact(daemon, true);
-    bool own = value.value().Content == content;
+    noteStoreContact(daemon, true, askedAt);
+    own = value.value().Content == content;
     offerDocument(daemon, key, value.value().Content, value.value().ModifyIndex,
                   DocumentSource::Store);
-    return own || written.has_value();
-  }
-  if (written) {
+  } else if (written) {
     offerDocument(daemon, key, content, 0, DocumentSource::OwnWrite);
-    return true;
   }
-  return written.error().Code == ErrorCode::Unknown;
-}
-
-void endStep(Daemon &daemon, const PlannedStep &step, bool written) {
-  MembershipState &state = daemon.Membership;
-  {
-    std::lock_guard<std::mutex> guard(state.Lock);
-    const OwnershipPlan &plan = step.Plan;
-    for (const TargetId &it : plan.ReleasedTargets)
-      state.ReleasingTargets.erase(it);
-    for (int p : plan.ReleasedPartitions)
-      state.ReleasingPartitions.erase(p);
-    if (!written && plan.Step == OwnershipStep::TakeOver) {
-      auto it = state.Doc.Members.find(plan.Other);
-      if (it != state.Doc.Members.end())
-        abandonTakeover(state.Grants, plan.Other, it->second.Life);
-    }
-  }
-  applyOwnership(daemon);
+  if (written || own)
+    return WriteOutcome::Written;
+  bool certain = written.error().Code != ErrorCode::Unknown &&
+                 written.error().Code != ErrorCode::Timeout;
+  return certain ? WriteOutcome::NotWritten : WriteOutcome::Undecided;
 }
 
 const char *stepName(OwnershipStep step) {
@@ -203,36 +208,41 @@
   return "";
 }
 
-/// \returns true when a change was written.
-bool runStep(Daemon &daemon, bool leaving) {
+void logStep(const OwnershipPlan &plan, bool written) {
+  EventCode code = EventCode::OwnershipConflict;
+  if (written)
+    code = plan.Step == OwnershipStep::TakeOver ? EventCode::TakeoverDone
+                                                : EventCode::OwnershipChanged;
+  else if (plan.Step == OwnershipStep::TakeOver)
+    code = EventCode::TakeoverRefused;
+  countEvent(written ? "ownership_writes" : "ownership_writes_failed");
+  logEvent(code, {{"step", stepName(plan.Step)},
+                  {"other", plan.Other.Value},
+                  {"revision", plan.Next.Rev.Value},
+                  {"reason", plan.Reason}});
+}
+
+void runStep(Daemon &daemon, bool leaving) {
   PlannedStep step = planStep(daemon, leaving);
   const OwnershipPlan &plan = step.Plan;
   if (plan.Step == OwnershipStep::None)
-    return false;
+    return;
   MonoTime grantedAt{};
-  bool ready = plan.Step != OwnershipStep::NameSuccessor ||
-               prepareSuccessor(daemon, plan, grantedAt);
-  bool written = false;
-  if (ready) {
-    releaseResources(daemon, plan);
-    if (sendPartitions(daemon, plan))
-      written = writePlan(daemon, step);
-  }
-  if (written && grantedAt != MonoTime{}) {
-    std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
-    renewLease(daemon.Membership.Own, grantedAt, daemon.Membership.Times);
+  if (plan.Step == OwnershipStep::NameSuccessor &&
+      !prepareSuccessor(daemon, plan, grantedAt))
+    return logStep(plan, false);
+  if (!beginStep(daemon, step, grantedAt))
+    return;
+  applyOwnership(daemon);
+  letRequestsEnd(daemon, plan);
+  if (!sendPartitions(daemon, plan)) {
+    undoStep(daemon, step);
+    return logStep(plan, false);
   }
-  endStep(daemon, step, written);
-  countEvent(written ? "ownership_writes" : "ownership_writes_failed");
-  logEvent(written ? (plan.Step == OwnershipStep::TakeOver
-                          ? EventCode::TakeoverDone
-                          : EventCode::OwnershipChanged)
-                   : EventCode::OwnershipConflict,
-           {{"step", stepName(plan.Step)},
-            {"other", plan.Other.Value},
-            {"revision", plan.Next.Rev.Value},
-            {"reason", plan.Reason}});
-  return written;
+  WriteOutcome outcome = writePlan(daemon, step);
+  if (outcome == WriteOutcome::NotWritten)
+    undoStep(daemon, step);
+  logStep(plan, outcome == WriteOutcome::Written);
 }
 
 bool storeKnown(Daemon &daemon) {
--- a/src/savorylbd/peer_directory.cpp
+++ b/src/savorylbd/peer_directory.cpp
@@ -67,6 +67,11 @@
   return daemon.Peers.Current;
 }
 
+std::shared_ptr<const LookupIndex> lookupIndex(Daemon &daemon) {
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  return daemon.Peers.Index;
+}
+
 void mergeView(Daemon &daemon, VmView view) {
   if (view.Name == daemon.Conf.Vm || view.Name.empty())
     return;
@@ -111,18 +116,25 @@
 
 void refreshViews(Daemon &daemon) {
   VmView own = ownView(daemon);
-  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  SnapshotPtr snapshot = currentSnapshot(daemon);
   auto next = std::make_shared<std::vector<VmView>>();
-  next->reserve(daemon.Peers.Vms.size() + 1);
-  for (const auto &[name, view] : daemon.Peers.Vms) {
-    next->push_back(view);
-    if (daemon.Peers.ListedDeparting.count(name))
-      next->back().Departing = true;
+  {
+    std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+    next->reserve(daemon.Peers.Vms.size() + 1);
+    for (const auto &[name, view] : daemon.Peers.Vms) {
+      next->push_back(view);
+      if (daemon.Peers.ListedDeparting.count(name))
+        next->back().Departing = true;
+    }
+    if (daemon.Peers.ListedDeparting.count(daemon.Conf.Vm))
+      own.Departing = true;
   }
-  own.Departing =
-      own.Departing || daemon.Peers.ListedDeparting.count(daemon.Conf.Vm) > 0;
   next->push_back(std::move(own));
+  auto index = std::make_shared<const LookupIndex>(
+      makeLookupIndex(snapshot->Conf, *next));
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
   daemon.Peers.Current = next;
+  daemon.Peers.Index = index;
 }
 
 std::string peerEndpoint(Daemon &daemon, const VmId &vm) {
--- a/src/savorylbd/peer_directory.h
+++ b/src/savorylbd/peer_directory.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_SAVORYLBD_PEER_DIRECTORY_H
 
 #include "peer.grpc.pb.h"
+#include "savorylb/lookup_index.h"
 #include "savorylb/vm_view.h"
 
 #include <map>
@@ -24,6 +25,8 @@
   std::map<VmId, VmView> Vms;
   /// Copy that requests read without holding the lock.
   VmViews Current = std::make_shared<std::vector<VmView>>();
+  /// The same VMs prepared for lookups.
+  std::shared_ptr<const LookupIndex> Index = std::make_shared<LookupIndex>();
   std::map<std::string, std::shared_ptr<PeerStub>> Stubs;
   /// VMs that the platform's list calls departing.
   std::set<VmId> ListedDeparting;
@@ -42,6 +45,9 @@
 /// \returns all known VMs as of the last tick.
 VmViews knownVms(Daemon &daemon);
 
+/// \returns the VMs prepared for lookups as of the last tick.
+std::shared_ptr<const LookupIndex> lookupIndex(Daemon &daemon);
+
 /// Takes in what is known of a VM when it is newer than the own knowledge.
 void mergeView(Daemon &daemon, VmView view);
 
--- a/src/savorylbd/service_shard.cpp
+++ b/src/savorylbd/service_shard.cpp
@@ -151,11 +151,7 @@
     if (owned.count(it.Name) == 0)
       continue;
     kept.insert(it.Name);
-    auto held = shard.Slots.Targets.find(it.Name);
-    if (held == shard.Slots.Targets.end())
-      adoptTarget(shard.Slots, it, true, now);
-    else
-      updateTarget(shard.Slots, it, now);
+    adoptTarget(shard.Slots, it, true, now);
   }
   std::vector<TargetId> dropped;
   for (const auto &[name, target] : shard.Slots.Targets)
--- a/src/savorylbd/store_watch.cpp
+++ b/src/savorylbd/store_watch.cpp
@@ -48,9 +48,10 @@
   std::uint64_t index = 0;
   Duration backoff = FirstBackoff;
   while (!daemon.Stopping) {
+    MonoTime askedAt = monoNow();
     Result<StoreListing> listing =
         daemon.Store.List(DocumentPrefix, index, WatchWait);
-    noteStoreContact(daemon, listing.has_value());
+    noteStoreContact(daemon, listing.has_value(), askedAt);
     if (!listing) {
       index = 0;
       sleepUnlessStopping(daemon, jittered(backoff));
