Add token buckets with transfers between VMs

Capacity gained by a larger share now stays unusable for GrowthHold, because the VM that had the share may have lent its burst just before it shrank or died. Borrowed tokens may exceed the capacity up to one whole token, so that bursts below one token per VM stay usable, and releaseHold lets a borrower end the lender's hold early.

--- /dev/null
+++ b/src/libsavorylb/token_bucket_test.cpp
@@ -0,0 +1,305 @@
+#include "savorylb/token_bucket.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <random>
+#include <vector>
+
+using namespace savorylb;
+
+namespace {
+
+/// A grant on its way, and the answer that ends its hold.
+struct Parcel {
+  std::size_t From = 0;
+  std::size_t To = 0;
+  int FromLife = 0;
+  int ToLife = 0;
+  MicroTokens Amount;
+  std::uint64_t Grant = 0;
+  MonoTime RequestedAt;
+  MonoTime ArrivesAt;
+};
+
+/// Share that was given up and appears elsewhere later.
+struct Move {
+  std::size_t To = 0;
+  std::int64_t Share = 0;
+  MonoTime At;
+};
+
+/// A fleet with random demand, transfers, moves and deaths in virtual time.
+struct Fleet {
+  std::mt19937_64 Random;
+  std::int64_t Rate = 0;
+  std::int64_t Burst = 0;
+  std::int64_t Singles = 0;
+  std::int64_t Transfers = 0;
+  std::int64_t LongestStep = 0;
+  MonoTime Now{Seconds(1000)};
+  std::vector<TokenBucket> Buckets;
+  std::vector<int> Lives;
+  std::vector<Parcel> Parcels;
+  std::vector<Move> Moves;
+  std::vector<MonoTime> Admitted;
+
+  explicit Fleet(std::uint64_t seed) : Random(seed) {
+    Rate = below(3) == 0 ? below(100'000) + 1 : below(300) + 1;
+    Burst = below(200) + 1;
+    Singles = below(2) * below(60);
+    Transfers = below(96 - Singles);
+    LongestStep = below(2) == 0 ? 20'000 : 200'000;
+    Buckets.resize(below(3) == 0 ? below(30) + 2 : below(4) + 2);
+    Lives.resize(Buckets.size());
+    std::int64_t left = WholePpm.Value;
+    for (std::size_t i = 0; i < Buckets.size(); ++i) {
+      std::int64_t part = i + 1 == Buckets.size() ? left : below(left + 1) / 2;
+      left -= part;
+      setShare(Buckets[i], Rate, Burst, Ppm(part), Now);
+    }
+  }
+
+  std::int64_t below(std::int64_t n) {
+    return static_cast<std::int64_t>(Random() % static_cast<std::uint64_t>(n));
+  }
+  std::size_t anyVm() {
+    return static_cast<std::size_t>(below(static_cast<int>(Buckets.size())));
+  }
+
+  void take(std::size_t vm, int times) {
+    while (times-- > 0 && takeToken(Buckets[vm], Now))
+      Admitted.push_back(Now);
+  }
+
+  void borrow() {
+    Parcel p;
+    p.From = anyVm();
+    p.To = anyVm();
+    p.RequestedAt = Now - Millis(below(30));
+    p.Amount = lendTokens(Buckets[p.From], MicroTokens(below(30'000'000)), Now);
+    if (p.From == p.To || p.Amount == MicroTokens(0) || below(10) == 0)
+      return;
+    p.Grant = Buckets[p.From].LastGrant;
+    p.FromLife = Lives[p.From];
+    p.ToLife = Lives[p.To];
+    p.ArrivesAt = Now + Duration(below(below(4) == 0 ? 4'000'000 : 20'000));
+    Parcels.push_back(p);
+  }
+
+  void moveShare() {
+    std::size_t vm = anyVm();
+    std::int64_t part = below(3) == 0 ? Buckets[vm].Share.Value
+                                      : below(Buckets[vm].Share.Value + 1);
+    bool dies = below(4) == 0;
+    if (dies) {
+      part = Buckets[vm].Share.Value;
+      Buckets[vm] = TokenBucket();
+      ++Lives[vm];
+    } else {
+      setShare(Buckets[vm], Rate, Burst, Buckets[vm].Share - Ppm(part), Now);
+    }
+    Moves.push_back({anyVm(), part, Now + Millis(below(2) * below(500))});
+  }
+
+  void deliver() {
+    for (std::size_t i = 0; i < Parcels.size();) {
+      Parcel p = Parcels[i];
+      if (p.ArrivesAt > Now) {
+        ++i;
+        continue;
+      }
+      Parcels.erase(Parcels.begin() + static_cast<std::ptrdiff_t>(i));
+      if (p.ToLife != Lives[p.To])
+        continue;
+      depositTokens(Buckets[p.To], p.Amount, p.RequestedAt, Now);
+      if (Buckets[p.To].Borrowed == MicroTokens(0) && below(2) == 0 &&
+          p.FromLife == Lives[p.From])
+        releaseHold(Buckets[p.From], p.Grant, Now);
+    }
+    for (std::size_t i = 0; i < Moves.size();) {
+      Move m = Moves[i];
+      if (m.At > Now) {
+        ++i;
+        continue;
+      }
+      Moves.erase(Moves.begin() + static_cast<std::ptrdiff_t>(i));
+      setShare(Buckets[m.To], Rate, Burst, Buckets[m.To].Share + Ppm(m.Share),
+               Now);
+    }
+  }
+
+  /// The mix differs by seed: single requests drain what a burst could use, so
+  /// some fleets see bursts only.
+  void step() {
+    Now += Duration(below(60) == 0 ? below(3'000'000) : below(LongestStep));
+    deliver();
+    std::int64_t kind = below(100);
+    if (kind < Singles)
+      take(anyVm(), 1);
+    else if (kind < Singles + Transfers)
+      borrow();
+    else if (kind < 97)
+      moveShare();
+    else
+      storm();
+  }
+
+  /// Takes all there is and all that arrives soon after.
+  void storm() {
+    for (std::int64_t left = below(40); left >= 0; --left) {
+      for (std::size_t vm = 0; vm < Buckets.size(); ++vm)
+        take(vm, 1'000'000);
+      Now += Duration(below(100'000));
+      deliver();
+    }
+  }
+
+  /// \returns the number of the first request that one bucket with the whole
+  /// rate and burst would refuse, which is so exactly when some window has too
+  /// many; -1 when there is none. One request a second is one micro-token a
+  /// microsecond, so the reference has no rounding.
+  long firstOverLimit() const {
+    std::int64_t full = Burst * OneToken.Value;
+    std::int64_t level = full;
+    MonoTime last{Seconds(1000)};
+    for (std::size_t i = 0; i < Admitted.size(); ++i) {
+      level = std::min(full, level + Rate * (Admitted[i] - last).count());
+      last = Admitted[i];
+      level -= OneToken.Value;
+      if (level < 0)
+        return static_cast<long>(i);
+    }
+    return -1;
+  }
+};
+
+const MonoTime Start{Seconds(5)};
+
+/// \returns a bucket that has filled to its capacity at the returned time.
+TokenBucket fullBucket(std::int64_t rate, std::int64_t burst, Ppm share) {
+  TokenBucket bucket;
+  setShare(bucket, rate, burst, share, Start - Seconds(3600));
+  refillBucket(bucket, Start);
+  return bucket;
+}
+
+} // namespace
+
+TEST_GROUP(TokenBucket){};
+
+// Guards against any interleaving of transfers, moves and deaths that lets a
+// team exceed its rate and burst in some window by even one request.
+TEST(TokenBucket, FleetNeverExceedsRateAndBurst) {
+  std::size_t admitted = 0;
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    Fleet fleet(seed);
+    for (int i = 0; i < 1000; ++i)
+      fleet.step();
+    long over = fleet.firstOverLimit();
+    CHECK_TEXT(over < 0,
+               StringFromFormat("seed %lu: request %ld is over",
+                                static_cast<unsigned long>(seed), over)
+                   .asCharString());
+    admitted += fleet.Admitted.size();
+  }
+  CHECK(admitted > 100'000);
+}
+
+// Guards against drift by lost remainders and against overflow.
+TEST(TokenBucket, RefillIsExact) {
+  TokenBucket bucket;
+  MonoTime now{};
+  setShare(bucket, 9'999'991, 50'000'000'000, Ppm(333'333), now);
+  bucket.Holds.clear();
+  bucket.Held = MicroTokens(0);
+  TokenBucket once = bucket;
+  while (now < MonoTime(Seconds(3600)))
+    refillBucket(bucket, now += Duration(9'973));
+  __extension__ __int128 exact = __int128(9'999'991) * 333'333 *
+                                 now.time_since_epoch().count() / 1'000'000;
+  LONGS_EQUAL(static_cast<std::int64_t>(exact), bucket.Level.Value);
+  refillBucket(once, now);
+  LONGS_EQUAL(bucket.Level.Value, once.Level.Value);
+  LONGS_EQUAL(bucket.RefillRemainder, once.RefillRemainder);
+}
+
+// Guards against capacity that was held back being filled with tokens of the
+// time before, and against fractions on top of a full bucket.
+TEST(TokenBucket, HeldCapacityFillsOnlyAfterwards) {
+  TokenBucket bucket;
+  setShare(bucket, 1, 10, Ppm(333'333), Start);
+  refillBucket(bucket, Start + GrowthHold + Duration(4));
+  LONGS_EQUAL(1, bucket.Level.Value);
+  refillBucket(bucket, Start + Seconds(3600));
+  LONGS_EQUAL(bucket.Capacity.Value, bucket.Level.Value);
+  LONGS_EQUAL(0, bucket.RefillRemainder);
+  // Only the part of the held growth that moves on loses its hold.
+  MonoTime later = Start + Seconds(3600);
+  setShare(bucket, 1, 10, Ppm(733'333), later);
+  setShare(bucket, 1, 10, Ppm(633'333), later);
+  LONGS_EQUAL(3'000'000, bucket.Held.Value);
+}
+
+// Guards against late grants being used after the lender's hold has ended.
+TEST(TokenBucket, DropsLateGrants) {
+  TokenBucket bucket = fullBucket(10, 100, WholePpm);
+  bucket.Level = MicroTokens(0);
+  MicroTokens grant = OneToken + OneToken;
+  LONGS_EQUAL(0, depositTokens(bucket, grant,
+                               Start - GrantLifetime - Duration(1), Start)
+                     .Value);
+  LONGS_EQUAL(grant.Value,
+              depositTokens(bucket, grant, Start - GrantLifetime, Start).Value);
+}
+
+// Guards against a busy lender that gives away what it needs itself, and
+// against an idle one that keeps what nobody uses.
+TEST(TokenBucket, LenderKeepsItsForecast) {
+  TokenBucket busy = fullBucket(100, 100, WholePpm);
+  MonoTime now = Start;
+  for (int i = 0; i < 200; ++i)
+    CHECK(takeToken(busy, now += Millis(10)));
+  MicroTokens before = busy.Level;
+  MicroTokens lent = lendTokens(busy, MicroTokens(1'000'000'000), now);
+  CHECK(lent > MicroTokens(0));
+  CHECK((before - lent).Value >= 19 * OneToken.Value);
+  TokenBucket idle = fullBucket(100, 100, WholePpm);
+  LONGS_EQUAL(100 * OneToken.Value,
+              lendTokens(idle, MicroTokens(1'000'000'000), Start).Value);
+}
+
+// Guards against holds that outlive a confirmed grant, which would limit
+// lending to one capacity in two seconds, and against ending one twice.
+TEST(TokenBucket, ConfirmedGrantEndsItsHold) {
+  TokenBucket lender = fullBucket(1000, 10, WholePpm);
+  LONGS_EQUAL(10 * OneToken.Value,
+              lendTokens(lender, MicroTokens(20'000'000), Start).Value);
+  refillBucket(lender, Start + Millis(100));
+  LONGS_EQUAL(0, lender.Level.Value);
+  CHECK(releaseHold(lender, lender.LastGrant, Start + Millis(100)));
+  CHECK_FALSE(releaseHold(lender, lender.LastGrant, Start + Millis(100)));
+  CHECK_FALSE(releaseHold(lender, 0, Start + Millis(100)));
+  refillBucket(lender, Start + Millis(110));
+  LONGS_EQUAL(10 * OneToken.Value, lender.Level.Value);
+}
+
+// Guards against a burst that no VM can use because every share of it is below
+// one token.
+TEST(TokenBucket, SharesBelowOneTokenAddUpByBorrowing) {
+  std::vector<TokenBucket> fleet(40, fullBucket(100, 20, Ppm(25'000)));
+  CHECK_FALSE(takeToken(fleet[0], Start));
+  int admitted = 0;
+  for (std::size_t peer = 1; peer < fleet.size(); ++peer) {
+    MicroTokens lent = lendTokens(fleet[peer], OneToken, Start);
+    LONGS_EQUAL(lent.Value, depositTokens(fleet[0], lent, Start, Start).Value);
+    admitted += takeToken(fleet[0], Start) ? 1 : 0;
+  }
+  LONGS_EQUAL(20, admitted);
+  // An incomplete token expires with its grant.
+  TokenBucket &last = fleet[5];
+  MonoTime later = Start + Seconds(10);
+  depositTokens(last, MicroTokens(400'000), later, later);
+  LONGS_EQUAL(400'000, last.Borrowed.Value);
+  refillBucket(last, later + GrantLifetime + Duration(1));
+  LONGS_EQUAL(0, last.Borrowed.Value);
+}
