Add link and retry budgets

Spillover and retries need a bound, or they overload links and targets. A link budget holds 100 ms of its share with exact remainders; a request larger than that needs a full budget and leaves a debt, since it could never be sent otherwise.

--- a/src/include/savorylb/link_budget.h
+++ b/src/include/savorylb/link_budget.h
@@ -4,6 +4,7 @@
 #include "savorylb/ids.h"
 #include "savorylb/units.h"
 
+#include <cstdint>
 #include <map>
 
 namespace savorylb {
@@ -13,6 +14,8 @@
   std::int64_t BytesPerSecond = 0;
   std::int64_t Level = 0;
   MonoTime Updated{};
+  /// Remainder of the last refill in millionths of a byte.
+  std::int64_t Remainder = 0;
 };
 
 /// Budgets by the region at the far end.
@@ -22,7 +25,8 @@
 void setLinkShare(LinkBudget &budget, std::int64_t linkBytesPerSecond,
                   Ppm share, MonoTime now);
 
-/// Reserves the expected bytes of a request before it is sent.
+/// Reserves the expected bytes of a request before it is sent. A request larger
+/// than the bucket needs a full bucket and leaves it in debt.
 /// \returns false when the link has no room for it now.
 bool reserveBytes(LinkBudget &budget, std::int64_t bytes, MonoTime now);
 
--- a/src/include/savorylb/retry_budget.h
+++ b/src/include/savorylb/retry_budget.h
@@ -5,10 +5,14 @@
 
 namespace savorylb {
 
+/// Most retries saved up, in thousandths; a quiet time must not pay for a
+/// storm.
+constexpr std::int64_t MaxEarnedRetries = 10'000;
+
 /// Retries allowed as a part of first attempts, so that retries cannot add up
 /// to a storm.
 struct RetryBudget {
-  /// Earned retries in thousandths.
+  /// Earned retries in thousandths, at most MaxEarnedRetries.
   std::int64_t Earned = 10'000;
 };
 
--- /dev/null
+++ b/src/libsavorylb/link_budget.cpp
@@ -0,0 +1,64 @@
+#include "savorylb/link_budget.h"
+
+#include <algorithm>
+
+namespace savorylb {
+
+namespace {
+
+constexpr std::int64_t Million = 1'000'000;
+
+__extension__ using Wide = __int128;
+
+/// A link carries at most 100 ms of its rate at once, so that a burst does not
+/// queue for longer than that in front of it.
+std::int64_t capacityOf(const LinkBudget &budget) {
+  return budget.BytesPerSecond / 10;
+}
+
+void clampLevel(LinkBudget &budget) {
+  if (budget.Level >= capacityOf(budget)) {
+    budget.Level = capacityOf(budget);
+    budget.Remainder = 0;
+  }
+}
+
+void refillBudget(LinkBudget &budget, MonoTime now) {
+  if (now <= budget.Updated)
+    return;
+  Wide gain = Wide(budget.BytesPerSecond) * (now - budget.Updated).count() +
+              budget.Remainder;
+  budget.Updated = now;
+  Wide room = std::max<std::int64_t>(0, capacityOf(budget) - budget.Level);
+  budget.Level += static_cast<std::int64_t>(std::min(room, gain / Million));
+  budget.Remainder = static_cast<std::int64_t>(gain % Million);
+  clampLevel(budget);
+}
+
+} // namespace
+
+void setLinkShare(LinkBudget &budget, std::int64_t linkBytesPerSecond,
+                  Ppm share, MonoTime now) {
+  refillBudget(budget, now);
+  budget.BytesPerSecond = static_cast<std::int64_t>(Wide(linkBytesPerSecond) *
+                                                    share.Value / Million);
+  clampLevel(budget);
+}
+
+bool reserveBytes(LinkBudget &budget, std::int64_t bytes, MonoTime now) {
+  refillBudget(budget, now);
+  if (budget.BytesPerSecond <= 0 ||
+      budget.Level < std::min(bytes, capacityOf(budget)))
+    return false;
+  budget.Level -= bytes;
+  return true;
+}
+
+void settleBytes(LinkBudget &budget, std::int64_t reserved, std::int64_t actual,
+                 MonoTime now) {
+  refillBudget(budget, now);
+  budget.Level += reserved - actual;
+  clampLevel(budget);
+}
+
+} // namespace savorylb
