Add slot tables with health, warm-up and load reports

Grants never exceed the configured slots, inherited slots count as busy until a report measured 200 ms after the takeover, and a target that failed or reports no slots gets single probe requests. Time-outs after less than 50 ms on a slot are no evidence against a target, since one team with short deadlines could otherwise take out all of them.

The eight unit tests pass.

--- a/src/include/savorylb/slot_table.h
+++ b/src/include/savorylb/slot_table.h
@@ -15,6 +15,26 @@
 /// forwarding VM did not release it.
 constexpr Duration SlotExpiryGrace = Millis(500);
 
+/// Failures in a row that take a target out.
+constexpr int FailureLimit = 3;
+/// First and longest wait before a target that was taken out, or that reports
+/// no slots, gets one request as a probe.
+constexpr Duration ProbeDelay = Seconds(1);
+constexpr Duration LongestProbeDelay = Seconds(8);
+
+/// A report limits its target for this long, so that a target whose reports
+/// stop or are stale does not stay limited by the last one.
+constexpr Duration ReportLifetime = Seconds(5);
+
+/// A request that was granted by the earlier owner may still be on its way when
+/// ownership moves; reports measured earlier than this after it free nothing.
+constexpr Duration InheritedSettle = Millis(200);
+
+/// A time-out counts as the target's failure only when the request held its
+/// slot for this long; otherwise callers with very short deadlines could take
+/// out every target.
+constexpr Duration TimeoutEvidence = Millis(50);
+
 /// What a target's load endpoint said.
 struct LoadReport {
   int Slots = 0;
@@ -54,6 +74,21 @@
   bool Healthy = true;
   int FailuresInRow = 0;
   MonoTime RetryAt{};
+  /// When each grant of Grants was made.
+  std::map<std::uint64_t, MonoTime> GrantedAt;
+  /// Wait before the next probe of a target that was taken out.
+  Duration RetryDelay{};
+  /// Grant that probes the target now, 0 when there is none.
+  std::uint64_t ProbeGrant = 0;
+  /// Whether requests, not only health probes, failed.
+  bool FailedRequests = false;
+  /// When a target that reports no slots may get a probe.
+  MonoTime ProbeAt{};
+  /// Limit after a request was shed, and until when it holds.
+  int ShedLimit = 0;
+  MonoTime ShedUntil{};
+  /// Newest grant, to spread requests among equally busy targets.
+  std::uint64_t LastGrant = 0;
 };
 
 /// The owned targets of one service.
@@ -61,12 +96,14 @@
   ServiceSpec Service;
   std::map<TargetId, OwnedTarget> Targets;
   std::uint64_t NextGrant = 1;
+  /// No grant expires before this time.
+  MonoTime NextExpiry = MonoTime::max();
 };
 
 /// Why no slot was granted.
 enum class SlotRefusal { NoTarget, Busy };
 
-/// Starts owning a target.
+/// Starts owning a target; one that is owned already only gets the new spec.
 /// \param table the owner's table.
 /// \param spec the configured target.
 /// \param inherited whether another VM may have requests on it.
@@ -74,7 +111,8 @@
 void adoptTarget(SlotTable &table, const TargetSpec &spec, bool inherited,
                  MonoTime now);
 
-/// Stops owning a target; requests in flight end on their own.
+/// Stops owning a target; requests in flight end on their own. A later
+/// adoption has to count them as inherited.
 /// \returns how many slots were still granted.
 int dropTarget(SlotTable &table, const TargetId &target);
 
@@ -82,7 +120,8 @@
 /// \param table the owner's table.
 /// \param version wanted version, empty for any.
 /// \param avoid target to avoid when another one is free.
-/// \param expiresAt the request's deadline.
+/// \param expiresAt the request's deadline, at most Service.MaxTime away, since
+/// a later owner counts the slot as busy for no longer than that.
 /// \param now the current time.
 /// \returns the grant, or nothing when no slot is free.
 std::optional<SlotGrant> grantSlot(SlotTable &table, const VersionId &version,
@@ -98,11 +137,15 @@
 void expireGrants(SlotTable &table, MonoTime now);
 
 /// Uses a load report: it can lower what is granted, never raise it above the
-/// configured slots, and an older report never replaces a newer one.
+/// configured slots, and an older report never replaces a newer one. A report
+/// of draining holds until a newer one says otherwise; others hold for
+/// ReportLifetime, and a target that reports no slots gets one probe at a time.
 void applyLoadReport(SlotTable &table, const TargetId &target,
                      const LoadReport &report, MonoTime now);
 
-/// Records the result of a health probe.
+/// Records the result of a health probe. It restores a target that failed only
+/// probes; one that failed requests returns by a probe request, since its
+/// health endpoint does not show that requests work.
 void applyHealth(SlotTable &table, const TargetId &target, bool healthy,
                  MonoTime now);
 
--- /dev/null
+++ b/src/libsavorylb/slot_table.cpp
@@ -0,0 +1,188 @@
+#include "slot_limit.h"
+
+#include <algorithm>
+
+namespace savorylb {
+
+namespace {
+
+/// A target that could take the request.
+struct Candidate {
+  OwnedTarget *Target = nullptr;
+  SlotLimit Limit;
+  int Busy = 0;
+  int Rank = 0;
+  bool Warm = false;
+};
+
+bool matches(const OwnedTarget &target, const VersionId &version) {
+  return version.empty() || target.Spec.Version == version;
+}
+
+/// Lower ranks are better. A due probe of a service whose requests may be
+/// repeated comes first, or a target would never return at low load; a request
+/// that must not run twice goes to an unproven target last.
+int rankOf(const SlotTable &table, const OwnedTarget &target, bool probe,
+           const TargetId &avoid) {
+  if (!avoid.empty() && target.Spec.Name == avoid)
+    return 3;
+  if (!probe)
+    return 1;
+  return table.Service.Mode == Execution::Idempotent ? 0 : 2;
+}
+
+bool better(const Candidate &a, const Candidate &b) {
+  if (a.Rank != b.Rank)
+    return a.Rank < b.Rank;
+  int left = a.Busy * b.Limit.Slots;
+  int right = b.Busy * a.Limit.Slots;
+  if (left != right)
+    return left < right;
+  if (a.Warm != b.Warm)
+    return a.Warm;
+  return a.Target->LastGrant < b.Target->LastGrant;
+}
+
+void forgetGrant(OwnedTarget &target, std::uint64_t number) {
+  target.Grants.erase(number);
+  target.GrantedAt.erase(number);
+}
+
+} // namespace
+
+void adoptTarget(SlotTable &table, const TargetSpec &spec, bool inherited,
+                 MonoTime now) {
+  auto [it, fresh] = table.Targets.try_emplace(spec.Name);
+  OwnedTarget &target = it->second;
+  target.Spec = spec;
+  if (!fresh)
+    return;
+  target.OwnedSince = now;
+  target.WarmSince = now;
+  target.ReportedLimit = spec.Slots;
+  if (!inherited)
+    return;
+  // An inherited target has been in use and is taken as warm.
+  target.WarmSince = now - table.Service.WarmUp;
+  target.InheritedBusy = spec.Slots;
+  target.InheritedUntil = now + table.Service.MaxTime + SlotExpiryGrace;
+}
+
+int dropTarget(SlotTable &table, const TargetId &target) {
+  auto it = table.Targets.find(target);
+  if (it == table.Targets.end())
+    return 0;
+  int granted = static_cast<int>(it->second.Grants.size());
+  table.Targets.erase(it);
+  return granted;
+}
+
+std::optional<SlotGrant> grantSlot(SlotTable &table, const VersionId &version,
+                                   const TargetId &avoid, MonoTime expiresAt,
+                                   MonoTime now) {
+  if (expiresAt <= now)
+    return std::nullopt;
+  if (now >= table.NextExpiry)
+    expireGrants(table, now);
+  Candidate best;
+  for (auto &[name, target] : table.Targets) {
+    // Under overload nearly all targets are full, so this goes first.
+    Candidate it;
+    it.Busy = busySlots(target, now);
+    if (it.Busy >= target.Spec.Slots || !matches(target, version))
+      continue;
+    it.Target = &target;
+    it.Limit = slotLimit(target, table.Service.WarmUp, now);
+    if (freeSlots(target, it.Limit, it.Busy) <= 0)
+      continue;
+    it.Rank = rankOf(table, target, it.Limit.Probe, avoid);
+    it.Warm = now - target.WarmSince >= table.Service.WarmUp;
+    if (best.Target == nullptr || better(it, best))
+      best = it;
+  }
+  if (best.Target == nullptr)
+    return std::nullopt;
+  SlotGrant grant;
+  grant.Number = table.NextGrant++;
+  grant.Target = best.Target->Spec.Name;
+  grant.Address = best.Target->Spec.Address;
+  grant.Version = best.Target->Spec.Version;
+  grant.ExpiresAt = expiresAt;
+  best.Target->Grants.emplace(grant.Number, expiresAt);
+  best.Target->GrantedAt.emplace(grant.Number, now);
+  best.Target->LastGrant = grant.Number;
+  if (best.Limit.Probe)
+    best.Target->ProbeGrant = grant.Number;
+  table.NextExpiry = std::min(table.NextExpiry, expiresAt + SlotExpiryGrace);
+  return grant;
+}
+
+bool releaseSlot(SlotTable &table, const TargetId &target, std::uint64_t number,
+                 SlotResult result, MonoTime now) {
+  auto found = table.Targets.find(target);
+  if (found == table.Targets.end())
+    return false;
+  OwnedTarget &it = found->second;
+  auto granted = it.GrantedAt.find(number);
+  if (granted == it.GrantedAt.end())
+    return false;
+  bool failed = result == SlotResult::Failed ||
+                (result == SlotResult::TimedOut &&
+                 now - granted->second >= TimeoutEvidence);
+  forgetGrant(it, number);
+  if (failed) {
+    it.FailedRequests = true;
+    countFailure(it, now);
+  } else if (result == SlotResult::Done && it.Healthy) {
+    it.FailuresInRow = 0;
+    it.FailedRequests = false;
+  } else if (result == SlotResult::Shed) {
+    // The target took fewer than were granted: stay at what it still serves,
+    // at least one, until it had time to recover.
+    it.ShedLimit = std::max(1, busySlots(it, now));
+    it.ShedUntil = now + ProbeDelay;
+  }
+  if (number == it.ProbeGrant)
+    endProbe(it, result, now);
+  return true;
+}
+
+void expireGrants(SlotTable &table, MonoTime now) {
+  table.NextExpiry = MonoTime::max();
+  for (auto &[name, target] : table.Targets) {
+    for (auto it = target.Grants.begin(); it != target.Grants.end();) {
+      MonoTime until = it->second + SlotExpiryGrace;
+      if (now < until) {
+        table.NextExpiry = std::min(table.NextExpiry, until);
+        ++it;
+        continue;
+      }
+      std::uint64_t number = it->first;
+      it = target.Grants.erase(it);
+      target.GrantedAt.erase(number);
+      // Nobody reported how the probe ended, so it proved nothing good.
+      if (number == target.ProbeGrant)
+        endProbe(target, SlotResult::TimedOut, now);
+    }
+  }
+}
+
+int freeSlots(const SlotTable &table, const VersionId &version, MonoTime now) {
+  int sum = 0;
+  for (const auto &[name, target] : table.Targets)
+    if (matches(target, version))
+      sum += freeSlots(target, slotLimit(target, table.Service.WarmUp, now),
+                       busySlots(target, now));
+  return sum;
+}
+
+int usableSlots(const SlotTable &table, const VersionId &version,
+                MonoTime now) {
+  int sum = 0;
+  for (const auto &[name, target] : table.Targets)
+    if (matches(target, version))
+      sum += slotLimit(target, table.Service.WarmUp, now).Slots;
+  return sum;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/libsavorylb/slot_table_test.cpp
@@ -0,0 +1,196 @@
+#include "savorylb/slot_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+TEST_GROUP(SlotTable) {
+  SlotTable Table;
+  MonoTime Now{Seconds(100)};
+
+  TargetSpec spec(const char *name, int slots = 4) {
+    TargetSpec it;
+    it.Name = TargetId(name);
+    it.Slots = slots;
+    it.Version = VersionId("v1");
+    return it;
+  }
+  void adopt(const char *name, int slots = 4, bool inherited = false) {
+    adoptTarget(Table, spec(name, slots), inherited, Now);
+  }
+  std::optional<SlotGrant> grant(const char *avoid = "") {
+    return grantSlot(Table, VersionId("v1"), TargetId(avoid), Now + Seconds(1),
+                     Now);
+  }
+  SlotGrant mustGrant(const char *avoid = "") {
+    std::optional<SlotGrant> it = grant(avoid);
+    CHECK(it.has_value());
+    return it.value_or(SlotGrant());
+  }
+  int grantAll() {
+    int n = 0;
+    while (grant())
+      ++n;
+    return n;
+  }
+  void finish(const SlotGrant &it, SlotResult result) {
+    CHECK(releaseSlot(Table, it.Target, it.Number, result, Now));
+  }
+  void report(const char *name, int slots, int busy, Duration age,
+              bool draining = false) {
+    LoadReport it;
+    it.Slots = slots;
+    it.Busy = busy;
+    it.Draining = draining;
+    it.MeasuredAt = Now - age;
+    applyLoadReport(Table, TargetId(name), it, Now);
+  }
+  int freeNow() { return freeSlots(Table, VersionId("v1"), Now); }
+};
+
+// Guards against more requests on a target than its slots, and against
+// requests that pile up on one target or go to the one to avoid.
+TEST(SlotTable, SpreadsAndNeverExceedsSlots) {
+  adopt("a", 2);
+  adopt("b", 4);
+  STRCMP_EQUAL("b", mustGrant("a").Target.Value.c_str());
+  STRCMP_EQUAL("a", mustGrant().Target.Value.c_str());
+  LONGS_EQUAL(4, grantAll());
+  LONGS_EQUAL(2, Table.Targets[TargetId("a")].Grants.size());
+  CHECK_FALSE(
+      grantSlot(Table, VersionId("v2"), TargetId(), Now + Seconds(1), Now));
+}
+
+// Guards against slots lost for good, or reused while a request may run, when
+// a forwarding VM dies.
+TEST(SlotTable, UnreleasedSlotsReturnAfterDeadlineAndGrace) {
+  adopt("a", 1);
+  SlotGrant it = mustGrant();
+  Now += Seconds(1) + SlotExpiryGrace - Duration(1);
+  expireGrants(Table, Now);
+  CHECK_FALSE(grant().has_value());
+  Now += Duration(1);
+  CHECK(grant().has_value());
+  CHECK_FALSE(releaseSlot(Table, it.Target, it.Number, SlotResult::Done, Now));
+}
+
+// Guards against overload after a takeover by requests of the earlier owner.
+TEST(SlotTable, InheritedSlotsCountAsBusy) {
+  adopt("a", 4, true);
+  adopt("b", 4, true);
+  report("a", 4, 0, Millis(1));
+  LONGS_EQUAL(0, freeNow());
+  Now += InheritedSettle + Millis(20);
+  report("a", 4, 1, Millis(30));
+  LONGS_EQUAL(0, freeNow());
+  report("a", 4, 1, Millis(5));
+  LONGS_EQUAL(3, freeNow());
+  Now += Table.Service.MaxTime + SlotExpiryGrace;
+  LONGS_EQUAL(8, freeNow());
+}
+
+// Guards against reports that raise limits, and against lying or stale ones
+// that take a target out for good.
+TEST(SlotTable, ReportsOnlyLowerAndNeverForGood) {
+  adopt("a", 4);
+  report("a", 9, 0, Millis(0));
+  LONGS_EQUAL(4, freeNow());
+  report("a", 0, 0, Millis(10));
+  LONGS_EQUAL(4, freeNow());
+  report("a", 2, 0, Duration(0));
+  LONGS_EQUAL(2, freeNow());
+  for (int i = 0; i < 9; ++i) {
+    report("a", 0, 0, Duration(0));
+    CHECK_FALSE(grant().has_value());
+    Now += Millis(100);
+  }
+  Now += Millis(100);
+  report("a", 0, 0, Duration(0));
+  SlotGrant probe = mustGrant();
+  CHECK_FALSE(grant().has_value());
+  finish(probe, SlotResult::Shed);
+  CHECK_FALSE(grant().has_value());
+  Now += ProbeDelay;
+  report("a", 0, 0, Duration(0));
+  finish(mustGrant(), SlotResult::Done);
+  CHECK(grant().has_value());
+  // A stated time in the future does not keep later reports out.
+  report("a", 1, 0, -Seconds(3600));
+  Now += Millis(1);
+  report("a", 4, 0, Duration(0));
+  LONGS_EQUAL(3, freeNow());
+  report("a", 1, 0, Duration(0));
+  Now += ReportLifetime + Millis(1);
+  report("a", 0, 0, Seconds(600));
+  expireGrants(Table, Now);
+  LONGS_EQUAL(4, freeNow());
+}
+
+// Guards against new work on targets that are leaving.
+TEST(SlotTable, DrainingTargetsGetNothingNew) {
+  adopt("a");
+  report("a", 4, 0, Duration(0), true);
+  Now += Seconds(60);
+  CHECK_FALSE(grant().has_value());
+  report("a", 4, 0, Duration(0));
+  CHECK(grant().has_value());
+  TargetSpec leaving = spec("a");
+  leaving.Draining = true;
+  adoptTarget(Table, leaving, false, Now);
+  CHECK_FALSE(grant().has_value());
+  LONGS_EQUAL(0, usableSlots(Table, VersionId("v1"), Now));
+}
+
+// Guards against a dead target that keeps getting requests, and one that
+// recovered but stays out.
+TEST(SlotTable, FailuresTakeTargetOutAndProbesBringItBack) {
+  adopt("a");
+  for (int i = 0; i < FailureLimit; ++i)
+    finish(mustGrant(), SlotResult::Failed);
+  applyHealth(Table, TargetId("a"), true, Now);
+  for (Duration wait :
+       {Seconds(1), Seconds(2), Seconds(4), Seconds(8), Seconds(8)}) {
+    Now += wait - Duration(1);
+    CHECK_FALSE(grant().has_value());
+    Now += Duration(1);
+    SlotGrant probe = mustGrant();
+    CHECK_FALSE(grant().has_value());
+    finish(probe, SlotResult::Failed);
+  }
+  Now += Seconds(8);
+  finish(mustGrant(), SlotResult::Done);
+  LONGS_EQUAL(4, grantAll());
+}
+
+// Guards against a hung target that only health probes notice, and against
+// callers with very short deadlines that take out good targets.
+TEST(SlotTable, HealthProbesAndShortTimeouts) {
+  adopt("a");
+  for (int i = 0; i < 2 * FailureLimit; ++i)
+    finish(mustGrant(), SlotResult::TimedOut);
+  LONGS_EQUAL(4, freeNow());
+  for (int i = 0; i < FailureLimit; ++i)
+    applyHealth(Table, TargetId("a"), false, Now);
+  LONGS_EQUAL(0, freeNow());
+  applyHealth(Table, TargetId("a"), true, Now);
+  LONGS_EQUAL(4, freeNow());
+  for (int i = 0; i < FailureLimit; ++i) {
+    SlotGrant it = mustGrant();
+    Now += TimeoutEvidence;
+    finish(it, SlotResult::TimedOut);
+  }
+  LONGS_EQUAL(0, freeNow());
+}
+
+// Guards against a cold target that is flooded, and a warm-up that never ends.
+TEST(SlotTable, ColdTargetsRampUp) {
+  Table.Service.WarmUp = Seconds(3);
+  adopt("a", 4);
+  LONGS_EQUAL(1, freeNow());
+  Now += Millis(1000);
+  LONGS_EQUAL(2, freeNow());
+  Now += Millis(1999);
+  LONGS_EQUAL(3, freeNow());
+  Now += Millis(1);
+  LONGS_EQUAL(4, freeNow());
+}
