--- a/src/include/savorylb/fair_queue.h
+++ b/src/include/savorylb/fair_queue.h
@@ -24,12 +24,21 @@
   double StartTag = 0;
 };
 
+/// Waiting requests of one team.
+struct TeamBacklog {
+  int Count = 0;
+  int Weight = 1;
+};
+
 /// Start-time fair queue between teams for one service.
 struct FairQueue {
   int MaxLength = 64;
   double VirtualTime = 0;
   std::map<TeamId, double> LastFinish;
+  /// In no order; StartTag and then Ticket give the order of service.
   std::vector<QueuedRequest> Waiting;
+  /// Teams with waiting requests.
+  std::map<TeamId, TeamBacklog> Backlogs;
   std::uint64_t NextTicket = 1;
   /// Smoothed time that a request holds a slot.
   Duration ServiceTime = Millis(20);
@@ -48,7 +57,8 @@
 /// Adds a request when it can expect a slot before it gives up.
 ///
 /// A full queue drops the newest request of the team that is furthest over
-/// its share, so that one team cannot fill it.
+/// its share, so that one team cannot fill it; when that is the arriving team,
+/// its request is refused. Requests that gave up are dropped first.
 /// \param queue the queue.
 /// \param request the request; Ticket and StartTag are set here.
 /// \param slots slots that serve this queue.
