--- a/src/libsavoryedge/response_reader.cpp
+++ b/src/libsavoryedge/response_reader.cpp
@@ -28,7 +28,8 @@
   static const char *const Names[] = {
       "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",
       "Upgrade",    "Proxy-Connection", "Trailer",           "TE",
-      "X-Outcome",  "X-Attempt-Nonce",  "X-Reason",          "X-Served-By"};
+      "X-Outcome",  "X-Attempt-Nonce",  "X-Reason",          "X-Served-By",
+      "Date",       "Server"};
   return std::any_of(std::begin(Names), std::end(Names), [&](const char *it) {
     return Poco::icompare(name, it) == 0;
   });
