--- a/src/standins/loadgen/generator.cpp
+++ b/src/standins/loadgen/generator.cpp
@@ -47,6 +47,7 @@
         Begin + duration_cast<Clock::duration>(duration<double>(untilNext(it)));
   }
   std::vector<std::thread> workers;
+  workers.reserve(static_cast<std::size_t>(Opt.Threads));
   for (int i = 0; i < Opt.Threads; ++i)
     workers.emplace_back([this] { work(); });
   dispatchUntil(Begin +
--- a/src/standins/loadgen/second_counts.cpp
+++ b/src/standins/loadgen/second_counts.cpp
@@ -1,11 +1,14 @@
 #include "second_counts.h"
 
+#include <algorithm>
+
 namespace savorylb::standin {
 
 void SecondCounts::addEnd(const RequestRecord &rec) {
   switch (rec.End) {
   case Outcome::Done:
     ++Done;
+    MaxMicros = std::max(MaxMicros, rec.Micros);
     break;
   case Outcome::NotRun:
     ++NotRun;
@@ -31,6 +34,7 @@
   out["wrong"] = static_cast<Json::UInt64>(Wrong);
   out["truncated"] = static_cast<Json::UInt64>(Truncated);
   out["failed"] = static_cast<Json::UInt64>(Failed);
+  out["max_us"] = static_cast<Json::Int64>(MaxMicros);
 }
 
 } // namespace savorylb::standin
--- a/src/standins/loadgen/second_counts.h
+++ b/src/standins/loadgen/second_counts.h
@@ -20,6 +20,8 @@
   std::uint64_t Wrong = 0;
   std::uint64_t Truncated = 0;
   std::uint64_t Failed = 0;
+  /// Longest time of a request that was done.
+  std::int64_t MaxMicros = 0;
 
   /// Counts the end of a request.
   void addEnd(const RequestRecord &rec);
--- a/src/standins/targetstandin/target.cpp
+++ b/src/standins/targetstandin/target.cpp
@@ -37,7 +37,7 @@
 // Settings that touch nothing but the faults.
 const std::map<std::string, Setter> &setters() {
   using F = TargetFaults;
-  static const std::map<std::string, Setter> All{
+  static const std::map<std::string, Setter> all{
       {"fail_ppm", number(&F::FailPpm)},
       {"fail_route", text(&F::FailRoute)},
       {"slow_ms", number(&F::SlowMs)},
@@ -76,7 +76,7 @@
          f.LoadLie = v == "0" ? "" : v == "1" ? "idle" : v;
        }},
   };
-  return All;
+  return all;
 }
 
 } // namespace
