--- a/src/libsavorylb/settings_test.cpp
+++ b/src/libsavorylb/settings_test.cpp
@@ -57,6 +57,9 @@
   STRCMP_CONTAINS("vm.json:6: store_url: ", out.c_str());
   STRCMP_CONTAINS("vm.json:8: seeds[0]: expected host:port", out.c_str());
   STRCMP_CONTAINS("vm.json:9: drain_limit_ms: expected 0 to", out.c_str());
+  // A value in the first column belongs to its own line.
+  STRCMP_CONTAINS("vm.json:2: vm: expected a name",
+                  findingsOf("{\"vm\":\n5}").c_str());
 }
 
 // Guards against a daemon that starts with two servers on one port.
