--- a/src/include/savorylb/lease_grants.h
+++ b/src/include/savorylb/lease_grants.h
@@ -20,6 +20,12 @@
   std::map<std::pair<VmId, Incarnation>, MonoTime> TakingOver;
 };
 
+/// Starts the grace time again after a pause of this process: requests for
+/// leases may have piled up unanswered, and their senders are alive.
+/// \param grants this VM's grants.
+/// \param now when the pause was noticed.
+void restartGrace(LeaseGrants &grants, MonoTime now);
+
 /// Grants a lease unless a takeover has begun.
 /// \param grants this VM's grants.
 /// \param vm the holder.
--- a/src/include/savorylb/once_ledger.h
+++ b/src/include/savorylb/once_ledger.h
@@ -14,7 +14,7 @@
 namespace savorylb {
 
 /// Bodies above this size are not kept for repeats.
-constexpr std::size_t MaxStoredBody = 64 * 1024;
+constexpr std::size_t MaxStoredBody = std::size_t{64} * 1024;
 
 /// A target's response, kept to answer repeats.
 struct StoredAnswer {
@@ -101,7 +101,9 @@
 
 /// Makes a replica into the home partition after a takeover.
 /// \param partition the replica.
-/// \param complete whether the replica is known to hold every entry.
+/// \param complete whether the replica is known to hold every entry and the
+/// zone document does not have the partition as quarantined; the replica itself
+/// does not know of an earlier quarantine.
 /// \param retention how long entries live.
 /// \param now the current time.
 void promoteReplica(OncePartition &partition, bool complete, Duration retention,
--- a/src/include/savorylb/ownership.h
+++ b/src/include/savorylb/ownership.h
@@ -6,9 +6,11 @@
 #include "savorylb/units.h"
 #include "savorylb/zone_document.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace savorylb {
@@ -32,9 +34,15 @@
   bool Leaving = false;
   /// Replicas of these VMs' ledgers are complete here.
   std::set<VmId> CompleteReplicas;
+  /// Own partitions whose quarantine has lasted the retention time here.
+  std::set<int> QuarantineOver;
+  /// When proof of death was first had. While it is fresh, other members leave
+  /// the takeover to the successor, which has the replica of the ledger.
+  std::map<std::pair<VmId, Incarnation>, MonoTime> ProvedDeadAt;
 };
 
-/// Kinds of change of the owner map.
+/// Kinds of change of the owner map. Before NameSuccessor is written,
+/// OwnershipPlan::Other must have granted a lease; see beginChange().
 enum class OwnershipStep {
   None,
   Join,
--- /dev/null
+++ b/src/libsavorylb/lease_grants.cpp
@@ -0,0 +1,45 @@
+#include "savorylb/lease_grants.h"
+
+#include <algorithm>
+
+namespace savorylb {
+
+void restartGrace(LeaseGrants &grants, MonoTime now) {
+  grants.StartedAt = std::max(grants.StartedAt, now);
+}
+
+bool grantLease(LeaseGrants &grants, const VmId &vm,
+                const Incarnation &incarnation, MonoTime now,
+                const LeaseTimes &times) {
+  if (grants.TakingOver.count({vm, incarnation}) != 0)
+    return false;
+  // Ended grants mean the same as none; drop those of past incarnations.
+  for (auto it = grants.HeldUntil.begin(); it != grants.HeldUntil.end();)
+    it = it->second <= now ? grants.HeldUntil.erase(it) : std::next(it);
+  MonoTime &until = grants.HeldUntil[{vm, incarnation}];
+  until = std::max(until, now + times.Granted);
+  return true;
+}
+
+bool mayTakeOver(const LeaseGrants &grants, const VmId &vm,
+                 const Incarnation &incarnation, MonoTime now,
+                 const LeaseTimes &times, bool provedDead) {
+  if (provedDead)
+    return true;
+  if (now < grants.StartedAt + times.Granted)
+    return false;
+  auto it = grants.HeldUntil.find({vm, incarnation});
+  return it == grants.HeldUntil.end() || now >= it->second;
+}
+
+void beginTakeover(LeaseGrants &grants, const VmId &vm,
+                   const Incarnation &incarnation, MonoTime now) {
+  grants.TakingOver.try_emplace({vm, incarnation}, now);
+}
+
+void abandonTakeover(LeaseGrants &grants, const VmId &vm,
+                     const Incarnation &incarnation) {
+  grants.TakingOver.erase({vm, incarnation});
+}
+
+} // namespace savorylb
