Report settled grants to lenders and let later identities out of quarantine

A lender that never hears of a grant's end can lend one capacity each 2 s; the next borrow now carries the settled grants. A quarantined partition answered every identity with unknown for 15 min; identities stamped with the owner map's revision at or after the takeover are new and may run. The unit tests of the ledger cover both sides of the revision.

--- a/src/libsavoryedge/response_reader.cpp
+++ b/src/libsavoryedge/response_reader.cpp
@@ -25,11 +25,20 @@
 
 /// Headers of one hop, and those that only the daemon and the target use.
 bool isPrivateHeader(const std::string &name) {
-  static const char *const Names[] = {
-      "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",
-      "Upgrade",    "Proxy-Connection", "Trailer",           "TE",
-      "X-Outcome",  "X-Attempt-Nonce",  "X-Reason",          "X-Served-By",
-      "Date",       "Server"};
+  static const char *const Names[] = {"Connection",
+                                      "Keep-Alive",
+                                      "Transfer-Encoding",
+                                      "Content-Length",
+                                      "Upgrade",
+                                      "Proxy-Connection",
+                                      "Trailer",
+                                      "TE",
+                                      "X-Outcome",
+                                      "X-Attempt-Nonce",
+                                      "X-Reason",
+                                      "X-Served-By",
+                                      "Date",
+                                      "Server"};
   return std::any_of(std::begin(Names), std::end(Names), [&](const char *it) {
     return Poco::icompare(name, it) == 0;
   });
--- a/src/libsavorylb/once_ledger.cpp
+++ b/src/libsavorylb/once_ledger.cpp
@@ -3,6 +3,7 @@
 #include "savorylb/hash.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace savorylb {
 namespace {
@@ -57,7 +58,7 @@
 
 BeginResult beginOnce(OncePartition &partition, const RequestId &identity,
                       const std::string &digest, const TeamId &team,
-                      MonoTime deadline, MonoTime now) {
+                      MonoTime deadline, MonoTime now, std::int64_t revision) {
   auto it = partition.Entries.find(identity);
   if (it != partition.Entries.end()) {
     expireEntry(it->second, now);
@@ -75,7 +76,10 @@
   entry.Deadline = deadline;
   // Told once that the outcome is unknown, a caller must not see the request
   // run after all, so the answer is kept like any other final one.
-  if (now < partition.QuarantinedUntil)
+  std::int64_t made = identityRevision(identity);
+  bool madeAfter =
+      made > 0 && made <= revision && made >= partition.QuarantineRevision;
+  if (now < partition.QuarantinedUntil && !madeAfter)
     entry.State = OnceState::Unknown;
   out.Number = entry.Number;
   out.Verdict = isFinal(entry.State) ? OnceVerdict::Unknown : OnceVerdict::Go;
@@ -153,13 +157,28 @@
       (partition.NextNumber / NumberStride + 1) * NumberStride;
 }
 
+std::int64_t identityRevision(const RequestId &identity) {
+  std::size_t colon = identity.Value.find(':');
+  std::size_t at = identity.Value.find('@');
+  if (colon == std::string::npos || at == std::string::npos || at > colon)
+    return 0;
+  std::int64_t revision = 0;
+  const char *first = identity.Value.data() + at + 1;
+  const char *last = identity.Value.data() + colon;
+  auto parsed = std::from_chars(first, last, revision);
+  return parsed.ec == std::errc() && parsed.ptr == last && revision > 0
+             ? revision
+             : 0;
+}
+
 OnceHome homeOf(const RequestId &identity, const std::vector<ZoneId> &zones,
                 const std::vector<ZoneId> &homeZones) {
   OnceHome out;
   out.Partition = static_cast<int>(stableHash(identity.Value) % PartitionCount);
   auto colon = identity.Value.find(':');
   if (colon != std::string::npos) {
-    ZoneId prefix(identity.Value.substr(0, colon));
+    std::string name = identity.Value.substr(0, colon);
+    ZoneId prefix(name.substr(0, name.find('@')));
     if (std::find(zones.begin(), zones.end(), prefix) != zones.end()) {
       out.Zone = prefix;
       return out;
--- a/src/libsavorylb/once_ledger_test.cpp
+++ b/src/libsavorylb/once_ledger_test.cpp
@@ -152,3 +152,31 @@
     CHECK_TEXT(ran.size() > 20, text.c_str());
   }
 }
+
+// Guards against a zone that refuses every new booking for the whole retention
+// after a takeover without a replica, and against letting an old identity run.
+TEST(OnceLedger, QuarantineLetsLaterIdentitiesRun) {
+  OncePartition partition;
+  MonoTime now(Seconds(10));
+  partition.QuarantinedUntil = now + Seconds(900);
+  partition.QuarantineRevision = 40;
+  auto verdict = [&](const char *identity) {
+    return beginOnce(partition, RequestId(identity), "d", TeamId("t"),
+                     now + Seconds(5), now, 57)
+        .Verdict;
+  };
+  CHECK(verdict("tema-a@40:new") == OnceVerdict::Go);
+  CHECK(verdict("tema-a@57:new") == OnceVerdict::Go);
+  CHECK(verdict("tema-a@39:old") == OnceVerdict::Unknown);
+  CHECK(verdict("tema-a@58:forged") == OnceVerdict::Unknown);
+  CHECK(verdict("tema-a:plain") == OnceVerdict::Unknown);
+  CHECK(verdict("plain") == OnceVerdict::Unknown);
+}
+
+// Guards against a repeat that reaches another home because its prefix carries
+// a revision.
+TEST(OnceLedger, PrefixWithRevisionNamesItsZone) {
+  std::vector<ZoneId> zones{ZoneId("tema-a"), ZoneId("tema-b")};
+  OnceHome home = homeOf(RequestId("tema-b@12:x"), zones, {ZoneId("tema-a")});
+  CHECK(home.Zone == ZoneId("tema-b"));
+}
--- a/src/savorylbd/peer_calls.cpp
+++ b/src/savorylbd/peer_calls.cpp
@@ -67,18 +67,26 @@
       .ok();
 }
 
-MicroTokens callBorrow(Daemon &daemon, const PeerAddress &peer,
-                       const TeamId &team, MicroTokens wanted,
-                       Duration patience) {
+BorrowedGrant callBorrow(Daemon &daemon, const PeerAddress &peer,
+                         const TeamId &team, MicroTokens wanted,
+                         const SettledGrants &settled, Duration patience) {
   peer::BorrowRequest request;
   request.set_team(team.Value);
   request.set_micro_tokens(wanted.Value);
   request.set_borrower(daemon.Conf.Vm.Value);
+  request.set_lender_incarnation(settled.Lender.Value);
+  for (std::uint64_t number : settled.Grants)
+    request.add_settled(number);
   peer::BorrowReply reply;
-  bool reached =
-      call(daemon, peer, &PeerStub::BorrowTokens, request, reply, patience)
-          .ok();
-  return MicroTokens(reached ? reply.micro_tokens() : 0);
+  BorrowedGrant grant;
+  grpc::Status status =
+      call(daemon, peer, &PeerStub::BorrowTokens, request, reply, patience);
+  if (!status.ok())
+    return grant;
+  grant.Amount = MicroTokens(reply.micro_tokens());
+  grant.Number = reply.grant();
+  grant.Lender = Incarnation(reply.incarnation());
+  return grant;
 }
 
 SlotAnswer callAcquire(Daemon &daemon, const PeerAddress &peer,
--- a/src/savorylbd/peer_calls.h
+++ b/src/savorylbd/peer_calls.h
@@ -5,6 +5,7 @@
 #include "peer.grpc.pb.h"
 #include "savorylb/vm_view.h"
 #include "service_shard.h"
+#include "team_shards.h"
 
 #include <string>
 
@@ -27,9 +28,9 @@
 
 /// Asks a peer for tokens.
 /// \returns what it lent, zero also when it could not be reached.
-MicroTokens callBorrow(Daemon &daemon, const PeerAddress &peer,
-                       const TeamId &team, MicroTokens wanted,
-                       Duration patience);
+BorrowedGrant callBorrow(Daemon &daemon, const PeerAddress &peer,
+                         const TeamId &team, MicroTokens wanted,
+                         const SettledGrants &settled, Duration patience);
 
 /// Asks an owner for a slot.
 SlotAnswer callAcquire(Daemon &daemon, const PeerAddress &peer,
--- a/src/savorylbd/peer_service.cpp
+++ b/src/savorylbd/peer_service.cpp
@@ -73,10 +73,15 @@
   grpc::Status BorrowTokens(grpc::ServerContext *,
                             const peer::BorrowRequest *request,
                             peer::BorrowReply *reply) override {
-    MicroTokens lent = lendToPeer(Owner, TeamId(request->team()),
-                                  MicroTokens(request->micro_tokens()),
-                                  VmId(request->borrower()));
-    reply->set_micro_tokens(lent.Value);
+    SettledGrants settled;
+    settled.Lender = Incarnation(request->lender_incarnation());
+    settled.Grants.assign(request->settled().begin(), request->settled().end());
+    BorrowedGrant grant = lendToPeer(Owner, TeamId(request->team()),
+                                     MicroTokens(request->micro_tokens()),
+                                     VmId(request->borrower()), settled);
+    reply->set_micro_tokens(grant.Amount.Value);
+    reply->set_grant(grant.Number);
+    reply->set_incarnation(grant.Lender.Value);
     return grpc::Status::OK;
   }
 
--- a/src/savorylbd/service_shard.cpp
+++ b/src/savorylbd/service_shard.cpp
@@ -107,11 +107,12 @@
   return answer;
 }
 
-SlotAnswer acquireLocked(Daemon &daemon, ServiceShard &shard,
-                         const SlotQuery &query) {
+SlotAnswer acquireLocked(Daemon &daemon, ServiceShard &shard, SlotQuery query) {
   std::unique_lock<std::mutex> lock(shard.Lock);
   MonoTime now = monoNow();
   expireGrants(shard.Slots, now);
+  // A later owner counts the slot as busy for no longer than MaxTime.
+  query.Remaining = std::min(query.Remaining, shard.Slots.Service.MaxTime);
   SlotAnswer answer;
   if (!someoneWaitsFor(shard, query.Version)) {
     answer.Grant = grantSlot(shard.Slots, query.Version, query.Avoid,
--- a/src/savorylbd/team_shards.cpp
+++ b/src/savorylbd/team_shards.cpp
@@ -61,15 +61,25 @@
   return MicroTokens(std::max(OneToken.Value, batch));
 }
 
+/// Deposits a grant and takes one token of it. A grant is settled once none of
+/// it is above the bucket's own capacity.
 bool deposit(Daemon &daemon, TeamShard &shard, const TeamId &team,
-             MicroTokens granted, MonoTime requestedAt) {
+             const BorrowedGrant &grant, const VmId &lender,
+             MonoTime requestedAt) {
   if (!mayUseOwned(daemon))
     return false;
   std::lock_guard<std::mutex> guard(shard.Lock);
   TokenBucket &bucket = shard.Buckets[team];
   MonoTime now = monoNow();
-  depositTokens(bucket, granted, requestedAt, now);
-  return takeToken(bucket, now);
+  depositTokens(bucket, grant.Amount, requestedAt, now);
+  bool taken = takeToken(bucket, now);
+  if (bucket.Borrowed == MicroTokens(0)) {
+    SettledGrants &settled = shard.Settled[{team, lender}];
+    if (settled.Lender != grant.Lender)
+      settled = {grant.Lender, {}};
+    settled.Grants.push_back(grant.Number);
+  }
+  return taken;
 }
 
 /// Asks peers in turn until one token is there.
@@ -80,15 +90,19 @@
     MonoTime sentAt = monoNow();
     if (sentAt >= limit)
       break;
-    MicroTokens granted = callBorrow(daemon, it.Address, team,
-                                     wantedTokens(shard, team), limit - sentAt);
-    if (granted == MicroTokens(0))
+    SettledGrants settled = std::move(shard.Settled[{team, it.Address.Vm}]);
+    shard.Settled.erase({team, it.Address.Vm});
+    BorrowedGrant granted =
+        callBorrow(daemon, it.Address, team, wantedTokens(shard, team), settled,
+                   limit - sentAt);
+    if (granted.Amount == MicroTokens(0))
       continue;
-    countEvent("tokens_borrowed", granted.Value / OneToken.Value);
-    logEvent(EventCode::TokensBorrowed, {{"team", team.Value},
-                                         {"lender", it.Address.Vm.Value},
-                                         {"micro_tokens", granted.Value}});
-    if (deposit(daemon, shard, team, granted, sentAt))
+    countEvent("tokens_borrowed", granted.Amount.Value / OneToken.Value);
+    logEvent(EventCode::TokensBorrowed,
+             {{"team", team.Value},
+              {"lender", it.Address.Vm.Value},
+              {"micro_tokens", granted.Amount.Value}});
+    if (deposit(daemon, shard, team, granted, it.Address.Vm, sentAt))
       return true;
   }
   return false;
@@ -150,24 +164,30 @@
   return false;
 }
 
-MicroTokens lendToPeer(Daemon &daemon, const TeamId &team, MicroTokens wanted,
-                       const VmId &borrower) {
+BorrowedGrant lendToPeer(Daemon &daemon, const TeamId &team, MicroTokens wanted,
+                         const VmId &borrower, const SettledGrants &settled) {
+  BorrowedGrant grant;
+  grant.Lender = daemon.Life;
   if (!mayUseOwned(daemon))
-    return MicroTokens(0);
-  MicroTokens lent;
+    return grant;
   {
     TeamShard &shard = shardOf(daemon, team);
     std::lock_guard<std::mutex> guard(shard.Lock);
     auto it = shard.Buckets.find(team);
     if (it == shard.Buckets.end())
-      return MicroTokens(0);
-    lent = lendTokens(it->second, wanted, monoNow());
+      return grant;
+    MonoTime now = monoNow();
+    if (settled.Lender == daemon.Life)
+      for (std::uint64_t number : settled.Grants)
+        releaseHold(it->second, number, now);
+    grant.Amount = lendTokens(it->second, wanted, now);
+    grant.Number = it->second.LastGrant;
   }
-  if (lent > MicroTokens(0))
+  if (grant.Amount > MicroTokens(0))
     logEvent(EventCode::TokensLent, {{"team", team.Value},
                                      {"borrower", borrower.Value},
-                                     {"micro_tokens", lent.Value}});
-  return lent;
+                                     {"micro_tokens", grant.Amount.Value}});
+  return grant;
 }
 
 std::map<TeamId, MicroTokens> tokenLevels(Daemon &daemon) {
--- a/src/savorylbd/team_shards.h
+++ b/src/savorylbd/team_shards.h
@@ -13,6 +13,19 @@
 
 struct Daemon;
 
+/// Grants of one lender to be reported as settled with the next borrow.
+struct SettledGrants {
+  Incarnation Lender;
+  std::vector<std::uint64_t> Grants;
+};
+
+/// A peer's answer to a borrow.
+struct BorrowedGrant {
+  MicroTokens Amount;
+  std::uint64_t Number = 0;
+  Incarnation Lender;
+};
+
 /// Buckets of some teams.
 struct TeamShard {
   std::mutex Lock;
@@ -21,6 +34,8 @@
   std::timed_mutex BorrowLock;
   /// Guarded by BorrowLock.
   std::map<TeamId, MonoTime> BorrowPausedUntil;
+  /// Guarded by BorrowLock.
+  std::map<std::pair<TeamId, VmId>, SettledGrants> Settled;
 };
 
 using TeamShards = std::array<TeamShard, 8>;
@@ -41,9 +56,9 @@
 bool admitRequest(Daemon &daemon, const TeamId &team, Duration patience,
                   Duration &retryAfter);
 
-/// Lends tokens to a peer.
-MicroTokens lendToPeer(Daemon &daemon, const TeamId &team, MicroTokens wanted,
-                       const VmId &borrower);
+/// Lends tokens to a peer after ending the holds of its settled grants.
+BorrowedGrant lendToPeer(Daemon &daemon, const TeamId &team, MicroTokens wanted,
+                         const VmId &borrower, const SettledGrants &settled);
 
 /// \returns the level of each team's bucket.
 std::map<TeamId, MicroTokens> tokenLevels(Daemon &daemon);
