Let the clock drift test tick, so that it sees a lease that is too long

The test let the holder's pause check end the use after 2 s, which hid a usable time of 3.5 s. It now ticks every millisecond. Measured: with a usable time of 3.0 s and of 3.5 s it fails, and with 2.5 s all 20 tests pass.

--- a/src/libsavorylb/lease_test.cpp
+++ b/src/libsavorylb/lease_test.cpp
@@ -36,10 +36,14 @@
           // The reply takes as long as the request.
           renewLease(own, holder(0), Times);
           tickLease(own, holder(2 * travel), Times);
-          for (std::int64_t ms = 2 * travel; ms < 8'000; ++ms)
+          for (std::int64_t ms = 2 * travel; ms < 8'000; ++ms) {
+            // Without ticks the pause check would hide a lease that is too
+            // long.
+            tickLease(own, holder(ms), Times);
             CHECK_FALSE(
                 mayTakeOver(grants, Holder, Life, grantor(ms), Times, false) &&
                 holdsLease(own, holder(ms), Times));
+          }
         }
 }
 
