--- a/src/savorylbd/peer_service.cpp
+++ b/src/savorylbd/peer_service.cpp
@@ -49,6 +49,16 @@
   return true;
 }
 
+/// A VM that was taken over may still send copies; counting them as replicated
+/// would let its requests run beside those of the new home.
+bool mayReplicate(Daemon &daemon, const VmId &holder, const Incarnation &life) {
+  MembershipState &state = daemon.Membership;
+  std::lock_guard<std::mutex> guard(state.Lock);
+  auto it = state.Doc.Members.find(holder);
+  return it != state.Doc.Members.end() && it->second.Life == life &&
+         state.Grants.TakingOver.count({holder, life}) == 0;
+}
+
 class PeerServiceImpl final : public peer::Peer::Service {
 public:
   explicit PeerServiceImpl(Daemon &daemon) : Owner(daemon) {}
@@ -156,7 +166,9 @@
                              const peer::ReplicateOnceRequest *request,
                              peer::ReplicateOnceReply *reply) override {
     if (!validPartition(request->partition()) ||
-        request->zone() != Owner.Conf.Zone.Value)
+        request->zone() != Owner.Conf.Zone.Value ||
+        !mayReplicate(Owner, VmId(request->holder()),
+                      Incarnation(request->holder_incarnation())))
       return grpc::Status::OK;
     storeReplica(Owner, VmId(request->holder()),
                  static_cast<int>(request->partition()),
