--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -148,3 +148,10 @@
   fi
   echo "all checks passed"
 }
+
+# make_plan PART [SERVICE]: writes $WORK/plan.json; each team calls its services
+# at a part of its rate.
+make_plan() {
+  jq -n --slurpfile c "$DEPLOY/config.json" --slurpfile k "$DEPLOY/keys.json" \
+    --argjson part "$1" --arg only "${2:-}" -f "$ROOT/testsuite/plan.jq" > "$WORK/plan.json"
+}
