Add the steering part of the decision library

The headers for keys, documents, version choice, rollouts, client blocks, lookups and placement had no code behind them.

Version choice needs both a VM-wide and a per-route accumulator, since many quiet routes could otherwise each send a request to the new version.

Tests were seen failing on broken variants, among them: random choice in place of error diffusion, route or VM accumulator alone, a credit that is kept, a fixed baseline in place of the old version at the same time, alpha 0.05, alpha not spent over restarts, no restarts, no control share, no suspect share, a latency threshold that is never renewed, pooled test only, peers' totals added up, final phases or older records overwritten, cap or stop flag ignored, late only at the deadline, revoked keys matching, prefix-only compare, stale keys accepted, older documents adopted, no search of enclosing blocks, no spread, no age, departing or silent VMs kept, always the freest owner, back-off, spill or team regions ignored. A variant whose steps advance by schedule alone is not caught by any test.

--- a/src/include/savorylb/placement.h
+++ b/src/include/savorylb/placement.h
@@ -10,6 +10,10 @@
 
 namespace savorylb {
 
+/// Most owners in one answer; a request that this many owners refused is better
+/// refused than sent on.
+constexpr std::size_t MaxPlacementOwners = 8;
+
 /// One VM to ask for a slot.
 struct PlacementChoice {
   VmId Owner;
--- a/src/include/savorylb/service.h
+++ b/src/include/savorylb/service.h
@@ -39,7 +39,7 @@
   bool Spill = true;
   /// Longest time a request may run on a target.
   Duration MaxTime = Seconds(5);
-  ByteCount MaxBody{64 * 1024 * 1024};
+  ByteCount MaxBody{std::int64_t{64} * 1024 * 1024};
   /// Time over which a cold target is ramped from one slot to all.
   Duration WarmUp = Seconds(0);
   int QueueLength = 64;
--- a/src/include/savorylb/version_choice.h
+++ b/src/include/savorylb/version_choice.h
@@ -19,6 +19,15 @@
 /// \returns true when this request goes to the new version.
 bool chooseNewVersion(VersionChoice &choice, Ppm share);
 
+/// Chooses for one route of a VM so that the bound holds for the route and for
+/// all routes of the VM together: a request goes to the new version only when
+/// both accumulators are due.
+/// \param vm the state of the whole VM.
+/// \param route the state of the request's route.
+/// \param share share of the new version.
+/// \returns true when this request goes to the new version.
+bool chooseNewVersion(VersionChoice &vm, VersionChoice &route, Ppm share);
+
 } // namespace savorylb
 
 #endif // SAVORYLB_VERSION_CHOICE_H
--- /dev/null
+++ b/src/libsavorylb/key_ring_test.cpp
@@ -0,0 +1,77 @@
+#include "savorylb/key_ring.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+std::string digestOf(char first, char last) {
+  return first + std::string(62, '0') + last;
+}
+
+KeyRing makeRing() {
+  KeyRing ring;
+  ring.Rev = Revision(7);
+  // The first two share the prefix of the index.
+  ring.Entries = {{digestOf('a', '1'), TeamId("fish"), "k1", false},
+                  {digestOf('a', '2'), TeamId("port"), "k2", true},
+                  {digestOf('b', '3'), TeamId("port"), "k3", false}};
+  return parseKeyRing(formatKeyRing(ring)).value();
+}
+
+} // namespace
+
+TEST_GROUP(KeyRing){};
+
+// Guards against a revoked key, a near miss or a prefix that still opens (P5).
+TEST(KeyRing, OnlyKeysInForceMatch) {
+  KeyRing ring = makeRing();
+  LONGS_EQUAL(7, ring.Rev.Value);
+  CHECK(teamOfKey(ring, digestOf('a', '1')) == TeamId("fish"));
+  CHECK(teamOfKey(ring, digestOf('b', '3')) == TeamId("port"));
+  CHECK_FALSE(teamOfKey(ring, digestOf('a', '2')).has_value());
+  CHECK_FALSE(teamOfKey(ring, digestOf('a', '4')).has_value());
+  CHECK_FALSE(teamOfKey(ring, digestOf('a', '1').substr(0, 16)).has_value());
+  CHECK_FALSE(teamOfKey(ring, "").has_value());
+}
+
+// Guards against a revocation that another entry of the same key undoes.
+TEST(KeyRing, RevocationWinsOverADuplicate) {
+  KeyRing ring = makeRing();
+  ring.Entries.push_back({digestOf('a', '1'), TeamId("fish"), "again", true});
+  ring.ByPrefix.emplace(digestOf('a', '1').substr(0, 16), 3);
+  CHECK_FALSE(teamOfKey(ring, digestOf('a', '1')).has_value());
+}
+
+// Guards against adopting half a document.
+TEST(KeyRing, MalformedDocumentsAreRejected) {
+  std::string good = digestOf('a', '1');
+  for (std::string text :
+       {"", "[]", R"({"revision":1})", R"({"revision":0,"keys":[]})",
+        R"({"revision":"1","keys":[]})", R"({"revision":1,"keys":[]} x)",
+        R"({"revision":1,"keys":[{"digest":"AB","team":"t","label":"l"}]})",
+        R"({"revision":1,"keys":[{"digest":"@","team":"","label":"l"}]})",
+        R"({"revision":1,"keys":[{"digest":"@","team":"t","label":"l",
+            "revoked":"yes"}]})",
+        R"({"revision":1,"keys":[{"digest":"@","team":"t","label":"l"},
+                                 {"digest":"@","team":"t","label":"m"}]})"}) {
+    for (auto at = text.find('@'); at != std::string::npos; at = text.find('@'))
+      text.replace(at, 1, good);
+    auto result = parseKeyRing(text);
+    CHECK(result.has_error());
+    CHECK(result.error().Code == ErrorCode::Malformed);
+    CHECK(result.error().Message.size() > 6);
+  }
+}
+
+// Guards against a cut-off zone that honours keys revoked elsewhere, and
+// against refusals while the store is down for everybody.
+TEST(KeyRing, StaleKeysAreRefusedOnlyWhenCutOff) {
+  Duration limit = Seconds(30);
+  CHECK(keysUsable({Seconds(30), false, false}, limit));
+  CHECK_FALSE(keysUsable({Seconds(31), false, false}, limit));
+  CHECK_FALSE(keysUsable({Seconds(31), true, true}, limit));
+  CHECK(keysUsable({Seconds(31), true, false}, limit));
+  CHECK(keysUsable({Seconds(9999), false, true}, Duration(0)));
+}
--- /dev/null
+++ b/src/libsavorylb/lookup.cpp
@@ -0,0 +1,215 @@
+#include "savorylb/lookup.h"
+
+#include "savorylb/hash.h"
+#include "savorylb/headroom.h"
+#include "savorylb/lookup_index.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace savorylb {
+
+namespace {
+
+// A VM without published slots still takes requests and forwards them; it
+// counts as half free.
+constexpr double UnknownHeadroom = 0.5;
+// Keeps a full VM in the spread of its class instead of at its very end.
+constexpr double LeastHeadroom = 0.05;
+
+// Longer than any distance between a caller and a region.
+constexpr Duration SaturationPenalty = Seconds(3600);
+// Regions that a site has no distance to come last.
+constexpr Duration UnknownDistance = Seconds(60);
+
+enum Tier { Good, Draining, LastResort };
+
+struct Candidate {
+  const IndexedVm *Vm = nullptr;
+  Tier Rank = Good;
+  bool Full = false;
+  double Headroom = 0;
+  /// Distance for the answer, and with the penalty of a saturated region.
+  Duration Distance{};
+  Duration Order{};
+  double Score = 0;
+};
+
+// Order of preference; the score spreads callers inside a class.
+bool isBetter(const Candidate &a, const Candidate &b) {
+  if (a.Rank != b.Rank)
+    return a.Rank < b.Rank;
+  if (a.Order != b.Order)
+    return a.Order < b.Order;
+  if (a.Full != b.Full)
+    return b.Full;
+  return a.Score > b.Score;
+}
+
+// Weighted rendezvous hash: each caller gets the same VM while figures stay,
+// and VMs get callers in proportion to their headroom.
+double spreadScore(std::uint64_t nameHash, std::uint64_t clientHash,
+                   double weight) {
+  std::uint64_t h = nameHash ^ clientHash;
+  h ^= h >> 33;
+  h *= 0xff51afd7ed558ccdULL;
+  h ^= h >> 33;
+  h *= 0xc4ceb9fe1a85ec53ULL;
+  h ^= h >> 33;
+  double u = (static_cast<double>(h >> 11) + 0.5) / 9007199254740992.0;
+  return -weight / std::log(u);
+}
+
+// Keeps the best candidates in order, without sorting all VMs.
+struct BestList {
+  std::array<Candidate, MaxLookupVms> Items;
+  std::size_t Count = 0;
+
+  void add(const Candidate &candidate) {
+    if (Count == Items.size() && !isBetter(candidate, Items[Count - 1]))
+      return;
+    std::size_t at = Count < Items.size() ? Count++ : Count - 1;
+    while (at > 0 && isBetter(candidate, Items[at - 1])) {
+      Items[at] = Items[at - 1];
+      --at;
+    }
+    Items[at] = candidate;
+  }
+};
+
+void rateVm(Candidate &candidate, const IndexedRegion &region,
+            const PublishedLoad *load, MonoTime now) {
+  const IndexedVm &vm = *candidate.Vm;
+  Duration age = now - vm.AsOf;
+  candidate.Headroom = UnknownHeadroom;
+  if (load && load->TotalSlots > 0) {
+    candidate.Headroom =
+        std::min(1.0, agedFreeSlots(load->FreeSlots, age) / load->TotalSlots);
+    candidate.Full = load->FreeSlots <= 0;
+  }
+  if (vm.Departing || age > VmSilenceLimit)
+    candidate.Rank = LastResort;
+  else
+    candidate.Rank = region.Draining ? Draining : Good;
+}
+
+// A region whose VMs are all full gets no callers while others have room.
+bool isSaturated(const std::vector<PublishedLoad> *loads) {
+  int total = 0;
+  int freeSlots = 0;
+  if (loads)
+    for (const PublishedLoad &load : *loads) {
+      total += load.TotalSlots;
+      freeSlots += std::max(load.FreeSlots, 0);
+    }
+  return total > 0 && freeSlots == 0;
+}
+
+std::string describe(const Candidate &best) {
+  static const char *const names[] = {"nearest region", "draining region",
+                                      "last resort"};
+  int percent = static_cast<int>(best.Headroom * 100);
+  return std::string(names[best.Rank]) + " " + best.Vm->Answer.Region.Value +
+         ", headroom " + std::to_string(percent) + "%";
+}
+
+} // namespace
+
+LookupAnswer lookUp(const LookupIndex &index, const BlockTable &blocks,
+                    const LookupQuery &query, MonoTime now) {
+  const SiteSpec *site = findSite(blocks, query.ClientAddress);
+  auto spill = index.Spill.find(query.Service);
+  bool maySpill = spill == index.Spill.end() || spill->second;
+  // The whole address is hashed, not only its block: a block may hold most of
+  // the callers, and they must not all get the same VM first.
+  std::uint64_t clientHash =
+      (query.ClientAddress + 1ULL) * 0x9e3779b97f4a7c15ULL;
+  BestList best;
+  for (const IndexedRegion &region : index.Regions) {
+    Candidate candidate;
+    candidate.Distance = site ? UnknownDistance : Duration(0);
+    if (site) {
+      auto distance = site->Distance.find(region.Name);
+      if (distance != site->Distance.end())
+        candidate.Distance = distance->second;
+    }
+    candidate.Order = candidate.Distance;
+    auto found = region.Loads.find(query.Service);
+    const auto *loads = found == region.Loads.end() ? nullptr : &found->second;
+    if (maySpill && isSaturated(loads))
+      candidate.Order += SaturationPenalty;
+    for (std::size_t i = 0; i < region.Vms.size(); ++i) {
+      candidate.Vm = &region.Vms[i];
+      candidate.Full = false;
+      rateVm(candidate, region, loads ? &(*loads)[i] : nullptr, now);
+      candidate.Score =
+          spreadScore(candidate.Vm->NameHash, clientHash,
+                      std::max(candidate.Headroom, LeastHeadroom));
+      best.add(candidate);
+    }
+  }
+  LookupAnswer answer;
+  for (std::size_t i = 0; i < best.Count; ++i) {
+    const Candidate &item = best.Items[i];
+    // VMs of a lower tier only fill up to two.
+    if (item.Rank != Good && i >= 2)
+      break;
+    answer.Vms.push_back(item.Vm->Answer);
+    answer.Vms.back().Distance = item.Distance;
+  }
+  if (!answer.Vms.empty()) {
+    answer.IdentityPrefix = answer.Vms.front().Zone.Value + ":";
+    answer.Reason = describe(best.Items[0]);
+  }
+  return answer;
+}
+
+LookupIndex makeLookupIndex(const Config &config,
+                            const std::vector<VmView> &vms) {
+  LookupIndex index;
+  std::map<RegionId, std::size_t> numbers;
+  auto regionAt = [&](const RegionId &name) -> IndexedRegion & {
+    auto added = numbers.emplace(name, index.Regions.size());
+    if (added.second) {
+      index.Regions.emplace_back();
+      index.Regions.back().Name = name;
+    }
+    return index.Regions[added.first->second];
+  };
+  for (const RegionSpec &region : config.Regions)
+    regionAt(region.Name).Draining = region.Draining;
+  for (const ServiceSpec &service : config.Services)
+    index.Spill[service.Name] = service.Spill;
+  for (const VmView &vm : vms) {
+    IndexedRegion &region = regionAt(vm.Region);
+    IndexedVm item;
+    item.Answer.Name = vm.Name;
+    item.Answer.CallerEndpoint = vm.CallerEndpoint;
+    item.Answer.Zone = vm.Zone;
+    item.Answer.Region = vm.Region;
+    item.NameHash = stableHash(vm.Name.Value);
+    item.Departing = vm.Departing;
+    item.AsOf = vm.AsOf;
+    region.Vms.push_back(std::move(item));
+    for (const auto &load : vm.Loads) {
+      auto &loads = region.Loads[load.first.first];
+      loads.resize(region.Vms.size());
+      loads.back().FreeSlots += load.second.FreeSlots;
+      loads.back().TotalSlots += load.second.TotalSlots;
+      loads.back().Queued += load.second.Queued;
+    }
+  }
+  for (IndexedRegion &region : index.Regions)
+    for (auto &loads : region.Loads)
+      loads.second.resize(region.Vms.size());
+  return index;
+}
+
+LookupAnswer lookUp(const Config &config, const BlockTable &blocks,
+                    const std::vector<VmView> &vms, const LookupQuery &query,
+                    MonoTime now) {
+  return lookUp(makeLookupIndex(config, vms), blocks, query, now);
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/libsavorylb/version_choice_test.cpp
@@ -0,0 +1,116 @@
+#include "savorylb/version_choice.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <cstdio>
+#include <random>
+#include <vector>
+
+using namespace savorylb;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261204;
+
+// Largest excess over ceil(n * share) in all windows that end at each choice.
+struct WindowCheck {
+  std::vector<int> Chosen{0};
+  std::vector<std::int64_t> Budget{0};
+
+  void add(bool isNew, std::int64_t sharePpm) {
+    Chosen.push_back(Chosen.back() + (isNew ? 1 : 0));
+    Budget.push_back(Budget.back() + sharePpm);
+  }
+  std::int64_t excess() const {
+    // Chosen * 1e6 - Budget may rise by less than a whole in any window.
+    std::int64_t lowest = 0;
+    std::int64_t worst = -1'000'000;
+    for (std::size_t i = 0; i < Chosen.size(); ++i) {
+      std::int64_t value = Chosen[i] * 1'000'000LL - Budget[i];
+      worst = std::max(worst, value - lowest);
+      lowest = std::min(lowest, value);
+    }
+    return worst / 1'000'000;
+  }
+};
+
+} // namespace
+
+TEST_GROUP(VersionChoice){};
+
+// Guards against a burst of the new version in any window: P1 and P7.
+TEST(VersionChoice, NoWindowExceedsTheShare) {
+  for (std::int64_t share : {1LL, 3'333LL, 10'000LL, 333'333LL, 980'000LL}) {
+    VersionChoice choice;
+    WindowCheck check;
+    for (int i = 0; i < 20'000; ++i)
+      check.add(chooseNewVersion(choice, Ppm(share)), share);
+    LONGS_EQUAL(0, check.excess());
+    LONGS_EQUAL(20'000 * share / 1'000'000, check.Chosen.back());
+  }
+}
+
+// Guards against routes that each spend a first request on the new version.
+TEST(VersionChoice, ManyQuietRoutesShareOneCap) {
+  VersionChoice vm;
+  std::vector<VersionChoice> routes(5000);
+  WindowCheck check;
+  for (VersionChoice &route : routes) {
+    bool isNew = chooseNewVersion(vm, route, Ppm(500'000));
+    CHECK_FALSE(isNew);
+    check.add(isNew, 500'000);
+  }
+  LONGS_EQUAL(0, check.excess());
+}
+
+// Guards against credit that survives a change of the share, on the VM and on
+// each route, and against a cap that throttles far below the share.
+TEST(VersionChoice, CapHoldsOverRoutesAndShareChanges) {
+  std::printf("seed %llu\n", static_cast<unsigned long long>(Seed));
+  std::mt19937_64 rng(Seed);
+  VersionChoice vm;
+  std::vector<VersionChoice> routes(10);
+  std::vector<WindowCheck> routeChecks(10);
+  WindowCheck check;
+  for (std::int64_t share : {10'000, 50'000, 0, 200'000, 500'000, 10'000})
+    for (int i = 0; i < 5'000; ++i) {
+      std::size_t n = rng() % 10;
+      bool isNew = chooseNewVersion(vm, routes[n], Ppm(share));
+      CHECK_FALSE(isNew && share == 0);
+      check.add(isNew, share);
+      routeChecks[n].add(isNew, share);
+    }
+  LONGS_EQUAL(0, check.excess());
+  for (const WindowCheck &item : routeChecks)
+    LONGS_EQUAL(0, item.excess());
+  auto budget = static_cast<double>(check.Budget.back()) / 1e6;
+  std::printf("used %.1f%% of the share over ten routes\n",
+              100 * check.Chosen.back() / budget);
+  CHECK(check.Chosen.back() > budget / 2);
+}
+
+// Compares with random choice, which the design rejected.
+TEST(VersionChoice, RandomChoiceExceedsTheShareWhereDiffusionDoesNot) {
+  std::mt19937_64 rng(Seed);
+  int randomOver = 0;
+  int diffusionOver = 0;
+  int worst = 0;
+  for (int run = 0; run < 1000; ++run) {
+    VersionChoice choice;
+    int random = 0;
+    int diffusion = 0;
+    for (int i = 0; i < 1000; ++i) {
+      random += rng() % 1'000'000 < 10'000 ? 1 : 0;
+      diffusion += chooseNewVersion(choice, Ppm(10'000)) ? 1 : 0;
+    }
+    randomOver += random > 10 ? 1 : 0;
+    diffusionOver += diffusion > 10 ? 1 : 0;
+    worst = std::max(worst, random);
+  }
+  std::printf("seed %llu: 1000 windows of 1000 at 1%%: over the cap random %d "
+              "(worst %d), error diffusion %d\n",
+              static_cast<unsigned long long>(Seed), randomOver, worst,
+              diffusionOver);
+  LONGS_EQUAL(0, diffusionOver);
+  CHECK(randomOver > 0);
+}
