Pass the linter and let several test fleets run side by side

The daemon's files had names and conversions that the linter refuses. Test fleets can move all their ports by PORT_SHIFT.

--- a/src/include/savorylb/target_client_http.h
+++ b/src/include/savorylb/target_client_http.h
@@ -6,7 +6,7 @@
 namespace savorylb {
 
 /// Responses up to this size are held whole before they are relayed.
-constexpr std::int64_t MaxBufferedResponse = 256 * 1024;
+constexpr std::int64_t MaxBufferedResponse = 256LL * 1024;
 
 /// Makes a client that speaks HTTP/1.1 to targets over pooled connections.
 /// \returns the client; it may be used by several threads.
--- a/src/libsavoryedge/metrics.cpp
+++ b/src/libsavoryedge/metrics.cpp
@@ -38,8 +38,8 @@
 };
 
 std::array<MetricShard, 16> &shards() {
-  static std::array<MetricShard, 16> Shards;
-  return Shards;
+  static std::array<MetricShard, 16> shards;
+  return shards;
 }
 
 MetricShard &shardOf(const std::string &name) {
--- a/src/libsavoryedge/response_reader.cpp
+++ b/src/libsavoryedge/response_reader.cpp
@@ -15,7 +15,7 @@
 
 using Poco::Net::HTTPResponse;
 
-constexpr std::size_t ReadBuffer = 64 * 1024;
+constexpr std::size_t ReadBuffer = 65'536;
 
 bool hasNoBody(const TargetRequest &request, int status) {
   return request.Method == Poco::Net::HTTPRequest::HTTP_HEAD ||
@@ -25,7 +25,7 @@
 
 /// Headers of one hop, and those that only the daemon and the target use.
 bool isPrivateHeader(const std::string &name) {
-  static const char *const Names[] = {"Connection",
+  static const char *const names[] = {"Connection",
                                       "Keep-Alive",
                                       "Transfer-Encoding",
                                       "Content-Length",
@@ -39,7 +39,7 @@
                                       "X-Served-By",
                                       "Date",
                                       "Server"};
-  return std::any_of(std::begin(Names), std::end(Names), [&](const char *it) {
+  return std::any_of(std::begin(names), std::end(names), [&](const char *it) {
     return Poco::icompare(name, it) == 0;
   });
 }
--- a/src/libsavoryedge/target_client_http.cpp
+++ b/src/libsavoryedge/target_client_http.cpp
@@ -21,7 +21,7 @@
 constexpr Duration MaxConnectTime = Seconds(1);
 /// How often a waiting request looks whether its caller has left.
 constexpr Duration CancelPollInterval = Millis(20);
-constexpr std::size_t CopyBuffer = 64 * 1024;
+constexpr std::size_t CopyBuffer = 65'536;
 
 struct Attempt {
   const TargetRequest &Request;
--- a/src/savorylbd/caller_server.cpp
+++ b/src/savorylbd/caller_server.cpp
@@ -316,9 +316,9 @@
 
 /// POCO serves each connection by one thread for as long as it is open.
 Poco::ThreadPool &callerThreads(Daemon &daemon) {
-  static Poco::ThreadPool Pool("callers", 4, daemon.Conf.MaxCallerConnections,
+  static Poco::ThreadPool pool("callers", 4, daemon.Conf.MaxCallerConnections,
                                60);
-  return Pool;
+  return pool;
 }
 
 } // namespace
--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -180,6 +180,7 @@
     peers[view.PeerEndpoint] = {name, view.PeerEndpoint};
   peers.erase(ownPeerEndpoint(daemon));
   std::vector<PeerAddress> result;
+  result.reserve(peers.size());
   for (auto &[endpoint, peer] : peers)
     result.push_back(std::move(peer));
   return result;
@@ -218,9 +219,9 @@
 } // namespace
 
 void sendHeartbeats(Daemon &daemon, bool everyone) {
-  static thread_local std::mt19937_64 Random(std::random_device{}());
+  static thread_local std::mt19937_64 random(std::random_device{}());
   std::vector<PeerAddress> peers = knownPeers(daemon);
-  std::shuffle(peers.begin(), peers.end(), Random);
+  std::shuffle(peers.begin(), peers.end(), random);
   if (!everyone && peers.size() > HeartbeatFanout)
     peers.resize(HeartbeatFanout);
   for (const PeerAddress &it : peers)
--- a/src/savorylbd/http_reply.cpp
+++ b/src/savorylbd/http_reply.cpp
@@ -6,7 +6,7 @@
 namespace savorylb {
 namespace {
 
-constexpr std::int64_t MaxDrainedBody = 1024 * 1024;
+constexpr std::int64_t MaxDrainedBody = 1024LL * 1024;
 
 } // namespace
 
--- a/src/savorylbd/request_parse.cpp
+++ b/src/savorylbd/request_parse.cpp
@@ -33,7 +33,7 @@
 
 /// Headers of this hop, and those that the daemon itself sets.
 bool isForwarded(const std::string &name) {
-  static const char *const Dropped[] = {
+  static const char *const dropped[] = {
       "Connection",       "Keep-Alive",   "Transfer-Encoding",
       "Content-Length",   "Upgrade",      "Host",
       "Expect",           "TE",           "Trailer",
@@ -41,7 +41,7 @@
       "X-Attempt-Nonce",  "X-Attempt",    "X-Team",
       "X-Outcome"};
   return std::none_of(
-      std::begin(Dropped), std::end(Dropped),
+      std::begin(dropped), std::end(dropped),
       [&](const char *it) { return Poco::icompare(name, it) == 0; });
 }
 
--- a/src/savorylbd/request_parse.h
+++ b/src/savorylbd/request_parse.h
@@ -9,7 +9,7 @@
 namespace savorylb {
 
 /// Bodies up to this size are held, so that they can be sent again.
-constexpr std::int64_t MaxHeldBody = 64 * 1024;
+constexpr std::int64_t MaxHeldBody = 64LL * 1024;
 
 /// Reads route, limits, identity and deadline, and checks the key.
 /// \param request the caller's request.
--- a/src/savorylbd/request_place.cpp
+++ b/src/savorylbd/request_place.cpp
@@ -85,7 +85,7 @@
 std::vector<PlacementChoice> choices(const RequestContext &context,
                                      const std::vector<VmView> &vms,
                                      const VersionId &version) {
-  static thread_local std::mt19937_64 Random(std::random_device{}());
+  static thread_local std::mt19937_64 random(std::random_device{}());
   PlacementQuery query;
   query.Self = context.Owner.Conf.Vm;
   query.Zone = context.Owner.Conf.Zone;
@@ -94,8 +94,8 @@
   query.Version = version;
   query.TeamRegions = context.TeamRegions;
   query.Spill = context.Service->Spill;
-  query.RandomA = Random();
-  query.RandomB = Random();
+  query.RandomA = random();
+  query.RandomB = random();
   return placeRequest(context.Current->Conf, vms, query, monoNow());
 }
 
--- a/src/savorylbd/store_watch.cpp
+++ b/src/savorylbd/store_watch.cpp
@@ -18,10 +18,10 @@
 
 /// Daemons that lost the store together must not come back together.
 Duration jittered(Duration span) {
-  static thread_local std::mt19937_64 Random(std::random_device{}());
+  static thread_local std::mt19937_64 random(std::random_device{}());
   std::uniform_int_distribution<std::int64_t> spread(span.count() / 2,
                                                      span.count());
-  return Duration(spread(Random));
+  return Duration(spread(random));
 }
 
 void sleepUnlessStopping(Daemon &daemon, Duration span) {
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -8,14 +8,29 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 WORK=$(mktemp -d)
 
+# Copies a deployment with all its ports moved by $PORT_SHIFT, so that several
+# fleets can run side by side.
+shift_ports() {
+  mkdir -p "$2"
+  for it in "$1"/*.json; do
+    jq --argjson shift "${PORT_SHIFT:-0}" '
+      walk(if type == "string" then gsub("127.0.0.1:(?<p>[0-9]+)"; "127.0.0.1:\(.p | tonumber + $shift)")
+           elif type == "object" then with_entries(
+             if (.key | endswith("port")) and (.value | type) == "number" then .value += $shift else . end)
+           else . end)' "$it" > "$2/$(basename "$it")"
+  done
+}
+
 # Chooses a deployment: marine or cooperative.
 use_deployment() {
   DEPLOYMENT=$1
-  DEPLOY=$ROOT/deploy/$1
   case $1 in
   marine) STORE_PORT=8500 ;;
   cooperative) STORE_PORT=8600 ;;
   esac
+  STORE_PORT=$((STORE_PORT + ${PORT_SHIFT:-0}))
+  DEPLOY=$WORK/deploy
+  shift_ports "$ROOT/deploy/$1" "$DEPLOY"
   STORE=http://127.0.0.1:$STORE_PORT
   STORE_CONTROL=http://127.0.0.1:$((STORE_PORT + 1))/control
   TARGET_CONTROL=http://127.0.0.1:$((STORE_PORT + 2))/control
