Let tests cut a daemon off from peers and the store

Partitions between zones need no isolation tools: the daemon's own edges lose their messages when the settings allow it.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,8 @@
 # Thin front of the CMake build.
 BUILD ?= build
+# Lets several checkouts share one compiler cache.
+export CCACHE_BASEDIR = $(CURDIR)
+export CCACHE_NOHASHDIR = 1
 JOBS ?= $(shell nproc)
 SOURCES = $(filter-out src/proto/%,$(shell git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' 'testsuite/*.cpp' 'testsuite/*.h'))
 UNITS = $(filter %.cpp,$(SOURCES))
--- a/src/include/savorylb/settings.h
+++ b/src/include/savorylb/settings.h
@@ -40,6 +40,8 @@
   std::string LogFile;
   /// Writes one line for each routing decision.
   bool LogDecisions = true;
+  /// Lets tests cut this daemon off from peers and store by its admin port.
+  bool AllowFaultInjection = false;
 };
 
 /// Parses and checks the settings of a daemon.
--- a/src/libsavorylb/settings.cpp
+++ b/src/libsavorylb/settings.cpp
@@ -103,6 +103,8 @@
                                out.MaxHeaderBytes.Value, 1024, 1'048'576));
   out.LogFile = fields.text("log_file", Need::Optional, out.LogFile);
   out.LogDecisions = fields.flag("log_decisions", out.LogDecisions);
+  out.AllowFaultInjection =
+      fields.flag("allow_fault_injection", out.AllowFaultInjection);
   fields.finish();
   return out;
 }
--- a/src/savorylbd/admin_server.cpp
+++ b/src/savorylbd/admin_server.cpp
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
+#include <Poco/URI.h>
 
 namespace savorylb {
 namespace {
@@ -17,6 +18,7 @@
 using Poco::Net::HTTPServerResponse;
 
 constexpr int AdminThreads = 4;
+const std::string FaultsPath = "/v1/faults";
 
 Json::Int64 ageMs(MonoTime since) {
   if (since == MonoTime{})
@@ -119,6 +121,21 @@
   return !daemon.Departing && currentSnapshot(daemon)->Conf.Rev > Revision(0);
 }
 
+/// `POST /v1/faults?peers=host:port,host:port&store=1` for tests.
+void setFaults(Daemon &daemon, const std::string &target,
+               HTTPServerResponse &response) {
+  std::string peers;
+  bool store = false;
+  for (const auto &[name, value] : Poco::URI(target).getQueryParameters()) {
+    if (name == "peers")
+      peers = value;
+    else if (name == "store")
+      store = value == "1";
+  }
+  setPartition(daemon, peers, store);
+  sendText(response, 200, "text/plain", "ok\n");
+}
+
 void handleAdmin(Daemon &daemon, HTTPServerRequest &request,
                  HTTPServerResponse &response) {
   const std::string &path = request.getURI();
@@ -141,6 +158,9 @@
     body["draining"] = true;
     return sendJson(response, 202, body);
   }
+  if (isPost && daemon.Conf.AllowFaultInjection &&
+      path.compare(0, FaultsPath.size(), FaultsPath) == 0)
+    return setFaults(daemon, path, response);
   sendText(response, path == "/v1/drain" ? 405 : 404, "text/plain",
            "not found\n");
 }
--- a/src/savorylbd/daemon.h
+++ b/src/savorylbd/daemon.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_SAVORYLBD_DAEMON_H
 
 #include "document_state.h"
+#include "fault_injection.h"
 #include "ledger_shards.h"
 #include "link_shards.h"
 #include "membership_state.h"
@@ -36,6 +37,7 @@
   LedgerShards Ledger;
   RolloutShards Rollouts;
   LinkShards Links;
+  FaultInjection Faults;
 
   /// A planned stop has begun: lookups stop naming this VM.
   std::atomic<bool> Departing{false};
--- /dev/null
+++ b/src/savorylbd/fault_injection.cpp
@@ -0,0 +1,72 @@
+#include "fault_injection.h"
+
+#include "daemon.h"
+
+#include <Poco/StringTokenizer.h>
+#include <algorithm>
+#include <thread>
+
+namespace savorylb {
+namespace {
+
+constexpr Duration LostCallTime = Millis(800);
+
+bool isStoreBlocked(Daemon &daemon) {
+  std::lock_guard<std::mutex> guard(daemon.Faults.Lock);
+  return daemon.Faults.StoreBlocked;
+}
+
+auto lostCall() {
+  loseCall(LostCallTime);
+  return failure(ErrorCode::Unknown, "no answer from the store");
+}
+
+} // namespace
+
+bool isPeerBlocked(Daemon &daemon, const std::string &endpoint) {
+  if (!daemon.Conf.AllowFaultInjection)
+    return false;
+  std::lock_guard<std::mutex> guard(daemon.Faults.Lock);
+  return daemon.Faults.BlockedPeers.count(endpoint) > 0;
+}
+
+void loseCall(Duration timeout) {
+  std::this_thread::sleep_for(std::min(timeout, LostCallTime));
+}
+
+void setPartition(Daemon &daemon, const std::string &peers, bool store) {
+  Poco::StringTokenizer tokens(peers, ",",
+                               Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  std::lock_guard<std::mutex> guard(daemon.Faults.Lock);
+  daemon.Faults.BlockedPeers = {tokens.begin(), tokens.end()};
+  daemon.Faults.StoreBlocked = store;
+}
+
+StoreClient partitionedStore(Daemon &daemon, StoreClient store) {
+  StoreClient cut = store;
+  cut.Get = [&daemon, store](const std::string &key) -> Result<StoreValue> {
+    if (isStoreBlocked(daemon))
+      return lostCall();
+    return store.Get(key);
+  };
+  cut.List = [&daemon, store](const std::string &prefix, std::uint64_t after,
+                              Duration wait) -> Result<StoreListing> {
+    if (isStoreBlocked(daemon))
+      return lostCall();
+    Result<StoreListing> listing = store.List(prefix, after, wait);
+    // An answer to a call from before the cut is lost as well.
+    if (isStoreBlocked(daemon))
+      return lostCall();
+    return listing;
+  };
+  cut.CompareAndSwap = [&daemon, store](const std::string &key,
+                                        const std::string &value,
+                                        std::uint64_t index) -> Result<void> {
+    if (isStoreBlocked(daemon))
+      return lostCall();
+    return store.CompareAndSwap(key, value, index);
+  };
+  return cut;
+}
+
+} // namespace savorylb
--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -147,6 +147,8 @@
 }
 
 void sendHeartbeat(Daemon &daemon, const PeerAddress &peer) {
+  if (isPeerBlocked(daemon, peer.Endpoint))
+    return noteCall(daemon, peer.Vm, false);
   auto pending = std::make_shared<HeartbeatCall>();
   pending->Stub = stubFor(daemon, peer.Endpoint);
   pending->SentAt = monoNow();
@@ -211,7 +213,7 @@
     bool replaced = it != vms->end() && it->Life != member.Life &&
                     it->PeerEndpoint == member.PeerEndpoint &&
                     now - it->AsOf <= VmSilenceLimit;
-    if (replaced || (!heard && refusesConnections(member.PeerEndpoint)))
+    if (replaced || (!heard && refusesConnections(daemon, member.PeerEndpoint)))
       noteProof(daemon, vm, member.Life);
   }
 }
--- a/src/savorylbd/main.cpp
+++ b/src/savorylbd/main.cpp
@@ -61,6 +61,8 @@
   daemon.Membership.Grants.StartedAt = daemon.StartedAt;
   daemon.Membership.Own.LastTick = daemon.StartedAt;
   daemon.Store = makeHttpStoreClient(settings.StoreUrl, StoreTimeout);
+  if (settings.AllowFaultInjection)
+    daemon.Store = partitionedStore(daemon, daemon.Store);
   if (!settings.VmListUrl.empty())
     daemon.VmList = makeHttpVmListClient(settings.VmListUrl, StoreTimeout);
   daemon.Targets = makeHttpTargetClient();
--- a/src/savorylbd/peer_calls.cpp
+++ b/src/savorylbd/peer_calls.cpp
@@ -34,6 +34,11 @@
 grpc::Status call(Daemon &daemon, const PeerAddress &peer,
                   PeerMethod<Request, Reply> method, const Request &request,
                   Reply &reply, Duration timeout) {
+  if (isPeerBlocked(daemon, peer.Endpoint)) {
+    loseCall(timeout);
+    noteCall(daemon, peer.Vm, false);
+    return {grpc::StatusCode::DEADLINE_EXCEEDED, "cut off"};
+  }
   grpc::ClientContext context;
   setTimeout(context, timeout);
   auto stub = stubFor(daemon, peer.Endpoint);
@@ -132,6 +137,8 @@
 void sendRelease(Daemon &daemon, const PeerAddress &peer,
                  const TargetId &target, std::uint64_t number,
                  SlotResult result, Duration took) {
+  if (isPeerBlocked(daemon, peer.Endpoint))
+    return;
   using Call = DetachedCall<peer::ReleaseRequest, peer::ReleaseReply>;
   auto pending = std::make_shared<Call>();
   pending->Stub = stubFor(daemon, peer.Endpoint);
@@ -178,6 +185,8 @@
 
 void startFinish(Daemon &daemon, const PeerAddress &peer,
                  const peer::FinishOnceRequest &message, int attemptsLeft) {
+  if (isPeerBlocked(daemon, peer.Endpoint))
+    return;
   auto pending = std::make_shared<FinishCall>();
   pending->Stub = stubFor(daemon, peer.Endpoint);
   pending->Message = message;
@@ -240,7 +249,9 @@
          reply.found();
 }
 
-bool refusesConnections(const std::string &endpoint) {
+bool refusesConnections(Daemon &daemon, const std::string &endpoint) {
+  if (isPeerBlocked(daemon, endpoint))
+    return false;
   try {
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(endpoint),
--- a/src/savorylbd/peer_calls.h
+++ b/src/savorylbd/peer_calls.h
@@ -69,7 +69,7 @@
 
 /// \returns true when nothing listens at an endpoint, which proves that the
 /// process that listened there is gone.
-bool refusesConnections(const std::string &endpoint);
+bool refusesConnections(Daemon &daemon, const std::string &endpoint);
 
 } // namespace savorylb
 
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -93,6 +93,28 @@
   PIDS[$1]=$!
 }
 
+# cut VM PEER... [store]: the VM loses its messages to the peers, and to the
+# store; cut VM alone heals it. Needs VM_EXTRA='{allow_fault_injection: true}'.
+cut() {
+  local vm=$1 peers="" store=0
+  shift
+  for it in "$@"; do
+    if [ "$it" = store ]; then store=1; else peers+="127.0.0.1:$(vm_port "$it" peer_port),"; fi
+  done
+  ask -X POST "http://$(admin "$vm")/v1/faults?peers=$peers&store=$store" > /dev/null
+}
+
+# cut_zone ZONE: its VMs reach each other, but no other VM and not the store.
+cut_zone() {
+  local inside=() outside=()
+  for it in "${VMS[@]}"; do
+    if [ "$(vm_port "$it" zone)" = "$1" ]; then inside+=("$it"); else outside+=("$it"); fi
+  done
+  for it in "${inside[@]}"; do cut "$it" "${outside[@]}" store; done
+  for it in "${outside[@]}"; do cut "$it" "${inside[@]}"; done
+}
+heal() { for it in "${VMS[@]}"; do cut "$it"; done; }
+
 is_serving() {
   status "$1" | jq -e '.membership.member and .membership.lease_held and .membership.rate_ppm > 0' > /dev/null
 }
