--- a/src/include/savorylb/event_log.h
+++ b/src/include/savorylb/event_log.h
@@ -20,6 +20,9 @@
 /// \param vm name written on each line.
 void openEventLog(const std::string &file, const std::string &vm);
 
+/// Writes out what is still buffered, before the process ends.
+void closeEventLog();
+
 /// Writes one line of JSON: time, event number and name, VM and the fields.
 /// \param code the event.
 /// \param fields figures and reasons; never a key.
--- a/src/libsavoryedge/event_log.cpp
+++ b/src/libsavoryedge/event_log.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 std::string VmName;
+/// Tests of the daemon's parts run without a log.
+bool LogOpen = false;
 
 void appendString(std::string &out, const std::string &text) {
   out += '"';
@@ -52,6 +54,7 @@
 
 void openEventLog(const std::string &file, const std::string &vm) {
   VmName = vm;
+  LogOpen = true;
   el::Configurations conf;
   conf.setToDefault();
   conf.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -65,6 +68,8 @@
 }
 
 void logEvent(EventCode code, const EventFields &fields) {
+  if (!LogOpen)
+    return;
   std::string line = "{\"time_ms\":";
   line += std::to_string(wallNow().time_since_epoch().count());
   line += ",\"event\":";
@@ -83,4 +88,9 @@
   LOG(INFO) << line;
 }
 
+void closeEventLog() {
+  if (LogOpen)
+    el::Loggers::flushAll();
+}
+
 } // namespace savorylb
--- a/src/libsavoryedge/store_client_http.cpp
+++ b/src/libsavoryedge/store_client_http.cpp
@@ -118,7 +118,8 @@
 
 Result<StoreValue> getValue(const StoreEndpoint &endpoint,
                             const std::string &key) {
-  auto reply = callStore(endpoint, HTTPRequest::HTTP_GET, keyPath(key), "", {});
+  std::string path = keyPath(key) + "?consistent";
+  auto reply = callStore(endpoint, HTTPRequest::HTTP_GET, path, "", {});
   if (!reply)
     return reply.error();
   if (reply.value().Status == HTTPResponse::HTTP_NOT_FOUND)
@@ -137,7 +138,7 @@
 Result<StoreListing> listPrefix(const StoreEndpoint &endpoint,
                                 const std::string &prefix,
                                 std::uint64_t afterIndex, Duration wait) {
-  std::string path = keyPath(prefix) + "?recurse";
+  std::string path = keyPath(prefix) + "?recurse&consistent";
   if (afterIndex > 0) {
     auto ms = std::chrono::duration_cast<Millis>(wait).count();
     path += "&index=" + std::to_string(afterIndex) +
@@ -181,6 +182,19 @@
                  "store answered status " + std::to_string(status));
 }
 
+Result<void> removeValue(const StoreEndpoint &endpoint,
+                         const std::string &key) {
+  auto reply =
+      callStore(endpoint, HTTPRequest::HTTP_DELETE, keyPath(key), "", {});
+  if (!reply)
+    return reply.error();
+  if (reply.value().Status != HTTPResponse::HTTP_OK)
+    return failure(ErrorCode::Unknown,
+                   "store answered status " +
+                       std::to_string(reply.value().Status));
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 } // namespace
 
 StoreClient makeHttpStoreClient(const std::string &baseUrl, Duration timeout) {
@@ -198,6 +212,9 @@
                                      std::uint64_t expectedIndex) {
     return compareAndSwap(endpoint, key, value, expectedIndex);
   };
+  client.Remove = [endpoint](const std::string &key) {
+    return removeValue(endpoint, key);
+  };
   return client;
 }
 
--- /dev/null
+++ b/src/libsavoryedge/store_client_test.cpp
@@ -0,0 +1,63 @@
+#include "savorylb/store_client_http.h"
+#include "scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+StoreClient clientOf(const ScriptedServer &server) {
+  return makeHttpStoreClient("http://" + server.address(), Millis(300));
+}
+
+std::string okReply(const std::string &body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\nX-Consul-Index: 7\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_GROUP(StoreClient){};
+
+// Guards against reporting a write as failed that may have taken effect.
+TEST(StoreClient, LostAnswerOfAWriteIsUnknown) {
+  ScriptedServer server([](const std::string &) { return ""; });
+  auto written = clientOf(server).CompareAndSwap("k", "v", 1);
+  CHECK(!written);
+  CHECK(written.error().Code == ErrorCode::Unknown);
+}
+
+// Guards against trying a write again that a server error may hide.
+TEST(StoreClient, ServerErrorOfAWriteIsUnknown) {
+  ScriptedServer server([](const std::string &) {
+    return "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
+  });
+  auto written = clientOf(server).CompareAndSwap("k", "v", 1);
+  CHECK(written.error().Code == ErrorCode::Unknown);
+}
+
+TEST(StoreClient, FalseIsAConflict) {
+  ScriptedServer server([](const std::string &) { return okReply("false"); });
+  auto written = clientOf(server).CompareAndSwap("k", "v", 1);
+  CHECK(written.error().Code == ErrorCode::Conflict);
+}
+
+TEST(StoreClient, ListsAPrefix) {
+  ScriptedServer server([](const std::string &) {
+    return okReply("[{\"Key\":\"p/a\",\"Value\":\"aGk=\",\"ModifyIndex\":5}]");
+  });
+  auto listing = clientOf(server).List("p/", 0, {});
+  CHECK(listing.has_value());
+  LONGS_EQUAL(7, listing.value().Index);
+  STRCMP_EQUAL("hi", listing.value().Values["p/a"].Content.c_str());
+  LONGS_EQUAL(5, listing.value().Values["p/a"].ModifyIndex);
+}
+
+// Guards against taking a listing that was cut for the whole truth.
+TEST(StoreClient, RejectsACutListing) {
+  ScriptedServer server([](const std::string &) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n[]";
+  });
+  CHECK(!clientOf(server).List("p/", 0, {}));
+}
--- /dev/null
+++ b/src/savorylbd/key_freshness_test.cpp
@@ -0,0 +1,53 @@
+#include "key_freshness.h"
+
+#include "daemon.h"
+#include "savorylb/clock.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+TEST_GROUP(KeyFreshness) {
+  Daemon Own;
+
+  void setup() override {
+    Own.Conf.Vm = VmId("a-1");
+    Own.Conf.Zone = ZoneId("a");
+    Own.Conf.KeyStalenessLimit = Seconds(3);
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->Conf.Regions.push_back(
+        {RegionId("r"), {ZoneId("a"), ZoneId("b")}, false});
+    Own.Documents.Current = snapshot;
+    Own.Documents.StoreContactAt = monoNow() - Seconds(60);
+  }
+
+  void hearOf(bool storeContact) {
+    VmView view;
+    view.Name = VmId("b-1");
+    view.Zone = ZoneId("b");
+    view.AsOf = monoNow();
+    view.StoreContact = storeContact;
+    view.StoreContactAt = storeContact ? monoNow() : monoNow() - Seconds(60);
+    mergeView(Own, view);
+  }
+
+  bool served() {
+    refreshViews(Own);
+    tickKeyFreshness(Own);
+    return keysInForce(Own);
+  }
+};
+
+// Guards against serving withdrawn keys in a zone that is cut off.
+TEST(KeyFreshness, RefusesWhenItMayBeCutOff) { CHECK(!served()); }
+
+// Guards against refusing everybody during an outage of the store itself.
+TEST(KeyFreshness, ServesWhenNobodyReachesTheStore) {
+  hearOf(false);
+  CHECK(served());
+}
+
+TEST(KeyFreshness, LearnsFreshnessFromPeers) {
+  hearOf(true);
+  CHECK(served());
+}
--- /dev/null
+++ b/src/savorylbd/ledger_shards_test.cpp
@@ -0,0 +1,79 @@
+#include "daemon.h"
+#include "savorylb/clock.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+TEST_GROUP(LedgerShards) {
+  Daemon Own;
+  ZoneDocument Doc;
+
+  void setup() override {
+    Own.Conf.Vm = VmId("a-1");
+    Own.Conf.Zone = ZoneId("a");
+    Own.Life = Incarnation("life-1");
+    Own.StartedAt = monoNow();
+    Doc = makeZoneDocument(ZoneId("a"), Ppm(500'000));
+    Doc.Rev = Revision(3);
+    ZoneMember self;
+    self.Life = Own.Life;
+    self.RatePpm = Ppm(500'000);
+    Doc.Members[Own.Conf.Vm] = self;
+    Doc.Partitions.assign(PartitionCount, Own.Conf.Vm);
+    Doc.QuarantinedAt.assign(PartitionCount, 0);
+  }
+
+  OnceVerdict begin(const std::string &identity) {
+    OnceQuery query;
+    query.Identity = RequestId(identity);
+    query.Partition = 2;
+    query.Digest = "d";
+    query.Team = TeamId("t");
+    query.Remaining = Seconds(5);
+    return beginAtHome(Own, query).Verdict;
+  }
+};
+
+TEST(LedgerShards, LetsEachIdentityRunOnce) {
+  applyZoneDocument(Own, Doc, 1);
+  CHECK(begin("x") == OnceVerdict::Go);
+  CHECK(begin("x") == OnceVerdict::InProgress);
+}
+
+// Guards against two homes: only the owner that the map names may say go.
+TEST(LedgerShards, RefusesWhatItDoesNotOwn) {
+  Doc.Partitions[2] = VmId("a-2");
+  applyZoneDocument(Own, Doc, 1);
+  CHECK(begin("x") == OnceVerdict::NotHome);
+}
+
+// Guards against a home without a lease, whose successor may have taken over.
+TEST(LedgerShards, RefusesWithoutALease) {
+  Doc.Members[Own.Conf.Vm].Successor = VmId("a-2");
+  Doc.Members[Own.Conf.Vm].SuccessorLife = Incarnation("life-2");
+  applyZoneDocument(Own, Doc, 1);
+  CHECK(begin("x") == OnceVerdict::NotHome);
+}
+
+// Guards against letting a request run of which no copy exists while a live
+// successor could take over without knowing it.
+TEST(LedgerShards, RefusesWhenTheSuccessorHasNoCopy) {
+  ZoneMember other;
+  other.Life = Incarnation("life-2");
+  other.PeerEndpoint = "127.0.0.1:1";
+  Doc.Members[VmId("a-2")] = other;
+  Doc.Members[Own.Conf.Vm].Successor = VmId("a-2");
+  Doc.Members[Own.Conf.Vm].SuccessorLife = Incarnation("life-2");
+  applyZoneDocument(Own, Doc, 1);
+  renewLease(Own.Membership.Own, monoNow(), Own.Membership.Times);
+  CHECK(begin("x") == OnceVerdict::Refused);
+}
+
+// Guards against running an identity again that an earlier home may have run.
+TEST(LedgerShards, QuarantinedPartitionSaysUnknown) {
+  Doc.QuarantinedAt[2] = 3;
+  applyZoneDocument(Own, Doc, 1);
+  CHECK(begin("old") == OnceVerdict::Unknown);
+  CHECK(begin("a@3:new") == OnceVerdict::Go);
+}
--- a/src/savorylbd/main.cpp
+++ b/src/savorylbd/main.cpp
@@ -88,6 +88,7 @@
   peers.Server->Shutdown(std::chrono::system_clock::now() + PeerStopLimit);
   admin->stop();
   // Replies to calls that nobody waits for may still refer to the daemon.
+  closeEventLog();
   std::_Exit(0);
 }
 
