Let the VM list prove a stop where operators allow it; drop a dead setting

vm_list_removal_proves_stop was read and not used, so a rack that vanished could only be reclaimed by hand; caller_threads had no effect and is gone. The unit tests of settings and daemon pass; the removal itself has no whole-program test yet.

--- a/src/include/savorylb/settings.h
+++ b/src/include/savorylb/settings.h
@@ -29,12 +29,13 @@
   /// Age of the keys above which a zone that may be cut off refuses keyed
   /// requests; 0 turns the limit off.
   Duration KeyStalenessLimit = Seconds(30);
+  /// Takes a VM that the platform's list dropped 60 s ago as stopped; only
+  /// safe where the platform drops a VM after it was powered off.
   bool VmListRemovalProvesStop = false;
   Duration DrainGrace = Seconds(3);
   Duration DrainLimit = Seconds(30);
   Duration IdentityRetention = Seconds(900);
   Duration DefaultDeadline = Seconds(5);
-  int CallerThreads = 64;
   int MaxCallerConnections = 1024;
   ByteCount MaxHeaderBytes{std::int64_t{32} * 1024};
   std::string LogFile;
--- a/src/libsavorylb/settings.cpp
+++ b/src/libsavorylb/settings.cpp
@@ -93,8 +93,6 @@
   readTimes(fields, out);
   out.VmListRemovalProvesStop =
       fields.flag("vm_list_removal_proves_stop", out.VmListRemovalProvesStop);
-  out.CallerThreads = static_cast<int>(fields.integer(
-      "caller_threads", Need::Optional, out.CallerThreads, 1, 4096));
   out.MaxCallerConnections =
       static_cast<int>(fields.integer("max_caller_connections", Need::Optional,
                                       out.MaxCallerConnections, 1, 1'000'000));
--- a/src/savorylbd/document_state.cpp
+++ b/src/savorylbd/document_state.cpp
@@ -29,10 +29,14 @@
   Config config = parseConfig(key, content, findings);
   if (!findings.empty())
     return formatFindings(findings);
+  bool first = currentSnapshot(daemon)->Conf.Rev == Revision(0);
   rebuildSnapshot(daemon, [&](Snapshot &it) {
     it.Blocks = makeBlockTable(config.Blocks, config.Sites);
     it.Conf = std::move(config);
   });
+  Revision revision = currentSnapshot(daemon)->Conf.Rev;
+  if (first)
+    logEvent(EventCode::DaemonReady, {{"revision", revision.Value}});
   applyRollouts(daemon, currentSnapshot(daemon)->Conf);
   applyOwnership(daemon);
   return "";
--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -188,17 +188,6 @@
   return result;
 }
 
-/// Records proof that an incarnation is gone for good.
-void noteProof(Daemon &daemon, const VmId &vm, const Incarnation &life) {
-  MembershipState &state = daemon.Membership;
-  std::lock_guard<std::mutex> guard(state.Lock);
-  MonoTime now = monoNow();
-  state.ProvedDeadAt.try_emplace({vm, life}, now);
-  if (state.Own.Successor == vm && state.Own.SuccessorLife == life)
-    markSuccessorDead(state.Own, now);
-  markCandidateDead(state.Own, vm, life, now);
-}
-
 /// Members whose heartbeats stopped may have died.
 void probeSilentMembers(Daemon &daemon, const ZoneDocument &doc) {
   VmViews vms = knownVms(daemon);
@@ -255,6 +244,16 @@
   }
 }
 
+void noteProof(Daemon &daemon, const VmId &vm, const Incarnation &life) {
+  MembershipState &state = daemon.Membership;
+  std::lock_guard<std::mutex> guard(state.Lock);
+  MonoTime now = monoNow();
+  state.ProvedDeadAt.try_emplace({vm, life}, now);
+  if (state.Own.Successor == vm && state.Own.SuccessorLife == life)
+    markSuccessorDead(state.Own, now);
+  markCandidateDead(state.Own, vm, life, now);
+}
+
 bool askForLease(Daemon &daemon, const PeerAddress &peer,
                  const Incarnation &life) {
   peer::RenewRequest request;
--- a/src/savorylbd/heartbeat.h
+++ b/src/savorylbd/heartbeat.h
@@ -19,6 +19,9 @@
 /// Pulls documents of which peers hold higher revisions.
 void pullNewerDocuments(Daemon &daemon);
 
+/// Records proof that an incarnation is gone for good.
+void noteProof(Daemon &daemon, const VmId &vm, const Incarnation &life);
+
 /// Asks one VM for a lease.
 /// \param daemon the daemon.
 /// \param peer the VM.
--- a/src/savorylbd/store_watch.cpp
+++ b/src/savorylbd/store_watch.cpp
@@ -1,6 +1,7 @@
 #include "store_watch.h"
 
 #include "daemon.h"
+#include "heartbeat.h"
 #include "savorylb/clock.h"
 
 #include <algorithm>
@@ -15,6 +16,8 @@
 constexpr Duration WatchWait = Seconds(2);
 constexpr Duration FirstBackoff = Millis(100);
 constexpr Duration LongestBackoff = Seconds(2);
+/// Covers the lag of the platform's list.
+constexpr Duration ListRemovalTime = Seconds(60);
 
 /// Daemons that lost the store together must not come back together.
 Duration jittered(Duration span) {
@@ -42,6 +45,25 @@
                     DocumentSource::Store);
 }
 
+/// Members of the own zone that the platform's list dropped a while ago.
+std::vector<std::pair<VmId, Incarnation>> droppedMembers(Daemon &daemon,
+                                                         MonoTime now) {
+  ZoneDocument doc;
+  {
+    std::lock_guard<std::mutex> guard(daemon.Membership.Lock);
+    doc = daemon.Membership.Doc;
+  }
+  std::vector<std::pair<VmId, Incarnation>> dropped;
+  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+  for (const auto &[vm, member] : doc.Members) {
+    auto it = daemon.Peers.LastListed.find(vm);
+    if (it != daemon.Peers.LastListed.end() &&
+        now - it->second >= ListRemovalTime)
+      dropped.emplace_back(vm, member.Life);
+  }
+  return dropped;
+}
+
 } // namespace
 
 void watchStore(Daemon &daemon) {
@@ -74,20 +96,26 @@
   if (!listing)
     return;
   MonoTime now = monoNow();
-  std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
-  PeerDirectory &peers = daemon.Peers;
-  // A lagging list must not undo what a newer one said.
-  if (listing.value().Version < peers.ListVersion)
-    return;
-  peers.ListVersion = listing.value().Version;
-  peers.ListedDeparting.clear();
-  peers.ListedEndpoints.clear();
-  for (const ListedVm &it : listing.value().Vms) {
-    if (it.Departing)
-      peers.ListedDeparting.insert(it.Name);
-    peers.ListedEndpoints[it.Name] = it.Address;
-    peers.LastListed[it.Name] = now - listing.value().Age;
+  {
+    std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
+    PeerDirectory &peers = daemon.Peers;
+    // A lagging list must not undo what a newer one said.
+    if (listing.value().Version < peers.ListVersion)
+      return;
+    peers.ListVersion = listing.value().Version;
+    peers.ListedDeparting.clear();
+    peers.ListedEndpoints.clear();
+    for (const ListedVm &it : listing.value().Vms) {
+      if (it.Departing)
+        peers.ListedDeparting.insert(it.Name);
+      peers.ListedEndpoints[it.Name] = it.Address;
+      peers.LastListed[it.Name] = now - listing.value().Age;
+    }
   }
+  if (!daemon.Conf.VmListRemovalProvesStop)
+    return;
+  for (const auto &[vm, life] : droppedMembers(daemon, now))
+    noteProof(daemon, vm, life);
 }
 
 } // namespace savorylb
