Add a script that measures a whole deployment

It prints the latency that the daemons add, store calls and processor time a second. It is not part of the tests; figures follow from an idle machine.

--- /dev/null
+++ b/testsuite/bench.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Measures a whole deployment on loopback: latency added by the daemons, store
+# calls, refusals, worst-served team. Run it on an idle machine; it is no test.
+# Usage: bench.sh BIN [marine|cooperative] [PART] [SERVICE_MS] [SECONDS]
+. "$(dirname "$0")/fleet.sh" "$1"
+use_deployment "${2:-marine}"
+part=${3:-0.5} service_ms=${4:-40} seconds=${5:-20}
+VM_EXTRA=${VM_EXTRA:-'{log_decisions: false}'}
+start_fleet "$service_ms"
+make_plan "$part"
+ask "$STORE_CONTROL/counts" > "$WORK/store_before.json"
+cpu_ms() { awk '{print ($14 + $15) * 10}' "/proc/${PIDS[$1]}/stat"; }
+cpu_before=0
+for it in "${VMS[@]}"; do cpu_before=$((cpu_before + $(cpu_ms "$it"))); done
+start_load "$seconds" "$WORK/plan.json" "$WORK/report"
+finish_load
+for it in "${VMS[@]}"; do cpu_before=$((cpu_before - $(cpu_ms "$it"))); done
+ask "$STORE_CONTROL/counts" > "$WORK/store_after.json"
+cat "$WORK/report.table"
+for it in "${VMS[@]}"; do ask "http://$(admin "$it")/metrics"; done > "$WORK/metrics"
+
+# Sums the cumulative buckets of all daemons and reads percentiles off them.
+awk -F'le="' '/^savorylb_added_seconds_bucket/ {
+    split($2, a, "\"} "); le = a[1]; n = a[2]
+    if (le == "+Inf") { total += n } else { sum[le] += n }
+  } END {
+    for (le in sum) order[++k] = le + 0
+    n = asort(order)
+    split("0.5 0.9 0.99", ps, " ")
+    for (i = 1; i <= 3; ++i) for (j = 1; j <= n; ++j)
+      { for (le in sum) if (le + 0 == order[j]) v = sum[le]
+        if (v >= total * ps[i]) { printf "added latency p%s: at most %.2f ms (%d requests)\n", ps[i] * 100, order[j] * 1000, total; break } }
+  }' "$WORK/metrics" 2>/dev/null || echo "needs gawk"
+jq -n --slurpfile a "$WORK/store_before.json" --slurpfile b "$WORK/store_after.json" --argjson s "$seconds" \
+  '($b[0].reads + $b[0].writes - $a[0].reads - $a[0].writes) / $s | "store calls a second: \(.)"' -r
+echo "daemon processor time a second: $((-cpu_before / seconds)) ms for ${#VMS[@]} daemons"
+jq -r '.totals | "sent \(.sent) done \(.done) not-run \(.not_run) unknown \(.unknown) lost \(.lost)"' "$WORK/report"
+check_targets
