--- a/testsuite/bench.sh
+++ b/testsuite/bench.sh
@@ -20,17 +20,12 @@
 for it in "${VMS[@]}"; do ask "http://$(admin "$it")/metrics"; done > "$WORK/metrics"
 
 # Sums the cumulative buckets of all daemons and reads percentiles off them.
-awk -F'le="' '/^savorylb_added_seconds_bucket/ {
-    split($2, a, "\"} "); le = a[1]; n = a[2]
-    if (le == "+Inf") { total += n } else { sum[le] += n }
-  } END {
-    for (le in sum) order[++k] = le + 0
-    n = asort(order)
+sed -nE 's/^savorylb_added_seconds_bucket.*le="([^"]+)"\} ([0-9.e+]+)$/\1 \2/p' "$WORK/metrics" |
+  awk '{n[$1] += $2} END {for (le in n) print (le == "+Inf" ? 1e9 : le), n[le]}' | sort -g |
+  awk '{le[NR] = $1; n[NR] = $2} END {
     split("0.5 0.9 0.99", ps, " ")
-    for (i = 1; i <= 3; ++i) for (j = 1; j <= n; ++j)
-      { for (le in sum) if (le + 0 == order[j]) v = sum[le]
-        if (v >= total * ps[i]) { printf "added latency p%s: at most %.2f ms (%d requests)\n", ps[i] * 100, order[j] * 1000, total; break } }
-  }' "$WORK/metrics" 2>/dev/null || echo "needs gawk"
+    for (i = 1; i <= 3; ++i) for (j = 1; j <= NR; ++j) if (n[j] >= n[NR] * ps[i]) {
+      printf "added latency, %s%%: at most %.2f ms (%d requests)\n", ps[i] * 100, le[j] * 1000, n[NR]; break } }'
 jq -n --slurpfile a "$WORK/store_before.json" --slurpfile b "$WORK/store_after.json" --argjson s "$seconds" \
   '($b[0].reads + $b[0].writes - $a[0].reads - $a[0].writes) / $s | "store calls a second: \(.)"' -r
 echo "daemon processor time a second: $((-cpu_before / seconds)) ms for ${#VMS[@]} daemons"
