--- /dev/null
+++ b/src/replay/once_driver.cpp
@@ -0,0 +1,4 @@
+#include "drivers.h"
+namespace savorylb::replay {
+Figures replayOnce(const Trace &, DecisionLog &) { return {}; }
+} // namespace savorylb::replay
--- /dev/null
+++ b/src/replay/slot_owner.h
@@ -0,0 +1,21 @@
+#ifndef SAVORYLB_REPLAY_SLOT_OWNER_H
+#define SAVORYLB_REPLAY_SLOT_OWNER_H
+
+#include "savorylb/fair_queue.h"
+#include "savorylb/slot_table.h"
+
+namespace savorylb::replay {
+
+/// A VM that owns targets, with its own clock.
+struct SlotOwner {
+  SlotTable Table;
+  FairQueue Queue;
+  Duration Offset{};
+  bool Up = true;
+
+  MonoTime clock(Duration now) const { return MonoTime(Offset + now); }
+};
+
+} // namespace savorylb::replay
+
+#endif // SAVORYLB_REPLAY_SLOT_OWNER_H
--- /dev/null
+++ b/src/replay/trace.cpp
@@ -0,0 +1,84 @@
+#include "trace.h"
+
+#include <algorithm>
+#include <json/reader.h>
+#include <memory>
+
+namespace savorylb::replay {
+namespace {
+
+/// Misspelt fields would silently make a trace check less.
+std::string unknownField(const Json::Value &root) {
+  static const std::vector<std::string> Known{
+      "name",      "guards",     "kind",   "seed",
+      "length_ms", "parameters", "events", "expect"};
+  for (const std::string &it : root.getMemberNames())
+    if (std::find(Known.begin(), Known.end(), it) == Known.end())
+      return it;
+  return "";
+}
+
+Expectation parseExpectation(const std::string &figure,
+                             const Json::Value &bounds) {
+  Expectation it;
+  it.Figure = figure;
+  if (bounds.isMember("min"))
+    it.Min = bounds["min"].asDouble();
+  if (bounds.isMember("max"))
+    it.Max = bounds["max"].asDouble();
+  return it;
+}
+
+Trace readTrace(const Json::Value &root) {
+  Trace trace;
+  trace.Name = root["name"].asString();
+  trace.Guards = root["guards"].asString();
+  trace.Kind = root["kind"].asString();
+  trace.Seed = root.get("seed", 1).asUInt64();
+  trace.Length = millisOf(root, "length_ms");
+  trace.Parameters = root["parameters"];
+  for (const Json::Value &it : root["events"])
+    trace.Events.push_back({millisOf(it, "at_ms"), it["what"].asString(), it});
+  std::stable_sort(
+      trace.Events.begin(), trace.Events.end(),
+      [](const TraceEvent &a, const TraceEvent &b) { return a.At < b.At; });
+  const Json::Value &expected = root["expect"];
+  for (const std::string &figure : expected.getMemberNames())
+    trace.Expected.push_back(parseExpectation(figure, expected[figure]));
+  return trace;
+}
+
+} // namespace
+
+Result<Trace> parseTrace(const std::string &text) {
+  Json::CharReaderBuilder builder;
+  builder["allowComments"] = true;
+  builder["rejectDupKeys"] = true;
+  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value root;
+  std::string errors;
+  if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors) ||
+      !root.isObject())
+    return failure(ErrorCode::Malformed, "not a JSON object: " + errors);
+  std::string unknown = unknownField(root);
+  if (!unknown.empty())
+    return failure(ErrorCode::Malformed, "unknown field " + unknown);
+  try {
+    Trace trace = readTrace(root);
+    if (trace.Guards.empty() || trace.Expected.empty() ||
+        trace.Length <= Duration(0))
+      return failure(ErrorCode::InvalidArgument,
+                     "guards, length_ms and expect are required");
+    return trace;
+  } catch (const Json::Exception &e) {
+    return failure(ErrorCode::Malformed, e.what());
+  }
+}
+
+Duration millisOf(const Json::Value &fields, const char *name,
+                  double fallback) {
+  return Duration(
+      static_cast<std::int64_t>(fields.get(name, fallback).asDouble() * 1000));
+}
+
+} // namespace savorylb::replay
