--- a/src/replay/main.cpp
+++ b/src/replay/main.cpp
@@ -16,13 +16,13 @@
 using Driver = Figures (*)(const Trace &, DecisionLog &);
 
 Driver driverOf(const std::string &kind) {
-  static const std::map<std::string, Driver> Drivers{
+  static const std::map<std::string, Driver> drivers{
       {"rates", replayRates},
       {"slots", replaySlots},
       {"ownership", replayOwnership},
       {"once", replayOnce}};
-  auto it = Drivers.find(kind);
-  return it == Drivers.end() ? nullptr : it->second;
+  auto it = drivers.find(kind);
+  return it == drivers.end() ? nullptr : it->second;
 }
 
 bool checkOutcome(const Expectation &expected, const Figures &figures) {
--- a/src/replay/once_ledgers.cpp
+++ b/src/replay/once_ledgers.cpp
@@ -168,7 +168,7 @@
 /// Sends an entry to all who must have it; then tells whether they have it.
 void replicate(OnceWorld &world, ReplayVm &vm, int partition,
                const OnceEntry &entry, bool removed,
-               std::function<void(bool)> done) {
+               const std::function<void(bool)> &done) {
   auto peers = replicaPeers(world, vm);
   if (!peers)
     return done(false);
@@ -205,7 +205,7 @@
 
 void beginAtHome(OnceWorld &world, ReplayVm &home, int partition,
                  const RequestId &identity, Duration remaining,
-                 std::function<void(const BeginResult &)> answer) {
+                 const std::function<void(const BeginResult &)> &answer) {
   BeginResult result;
   result.Verdict = OnceVerdict::NotHome;
   if (!isHome(world, home, partition))
--- a/src/replay/once_world.h
+++ b/src/replay/once_world.h
@@ -41,7 +41,7 @@
 /// the entry is replicated.
 void beginAtHome(OnceWorld &world, ReplayVm &home, int partition,
                  const RequestId &identity, Duration remaining,
-                 std::function<void(const BeginResult &)> answer);
+                 const std::function<void(const BeginResult &)> &answer);
 
 /// Records the outcome at the home VM and its replica.
 void finishAtHome(OnceWorld &world, ReplayVm &home, int partition,
--- a/src/replay/rates_driver.cpp
+++ b/src/replay/rates_driver.cpp
@@ -29,6 +29,8 @@
   /// Demand, requests a second, and the part that one VM gets.
   double Demand = 0;
   double HotPart = 0;
+  Duration On{};
+  Duration Off{};
   long Sent = 0;
   AdmissionCheck Check;
 };
@@ -50,6 +52,8 @@
   std::vector<TeamLoad> Teams;
   std::map<VmId, std::vector<TeamOnVm>> OnVm;
   double LostGrants = 0;
+  /// Chance that a grant takes up to a second to arrive.
+  double LateGrants = 0;
   Duration MeasureFrom{};
 };
 
@@ -180,19 +184,22 @@
                                        vm.Name.Value);
     if (fleet.Rand.chance(rates.LostGrants) || vm.Lives != lives)
       return;
-    sendMessage(fleet, peer, vm,
-                [=, &rates, &vm, life = peer.life(), lender = peer.Name] {
-                  if (lent > MicroTokens(0))
-                    receiveGrant(rates, vm, team, lender, life, lent, number,
-                                 asked);
-                  if (*answered)
-                    return;
-                  *answered = true;
-                  if (lent > MicroTokens(0))
-                    serveWaiting(rates, vm, team, true);
-                  else
-                    askNext(rates, vm, team, lenders, lives);
-                });
+    Duration late(
+        fleet.Rand.chance(rates.LateGrants) ? fleet.Rand.below(1'000'000) : 0);
+    auto receive = [=, &rates, &vm, life = peer.life(), lender = peer.Name] {
+      if (lent > MicroTokens(0))
+        receiveGrant(rates, vm, team, lender, life, lent, number, asked);
+      if (*answered)
+        return;
+      *answered = true;
+      if (lent > MicroTokens(0))
+        serveWaiting(rates, vm, team, true);
+      else
+        askNext(rates, vm, team, lenders, lives);
+    };
+    fleet.Time.after(late, [=, &fleet, &peer, &vm] {
+      sendMessage(fleet, peer, vm, receive);
+    });
   });
   fleet.Time.after(LongestWait, [=, &rates, &fleet, &vm] {
     runInVm(fleet, vm, lives, [=, &rates, &vm] {
@@ -238,8 +245,9 @@
   TeamLoad &load = rates.Teams[team];
   double at =
       (static_cast<double>(load.Sent++) + fleet.Rand.unit()) / load.Demand;
-  Duration since =
-      rates.MeasureFrom + Duration(static_cast<std::int64_t>(at * 1e6));
+  // Demand may come in pulses, so that buckets fill in between.
+  Duration active(static_cast<std::int64_t>(at * 1e6));
+  Duration since = rates.MeasureFrom + active + active / load.On * load.Off;
   fleet.Time.at(since, [=, &rates] {
     Fleet &it = rates.Vms;
     noteArrival(rates.Teams[team].Check, since, since >= rates.MeasureFrom);
@@ -268,6 +276,8 @@
     team.Burst = it["burst"].asInt64();
     team.Demand = it["load"].asDouble() * static_cast<double>(team.Rate);
     team.HotPart = it.get("hot", 0.0).asDouble();
+    team.On = millisOf(it, "on_ms", 1000);
+    team.Off = millisOf(it, "off_ms");
     team.Check = AdmissionCheck(team.Rate, team.Burst);
     rates.Teams.push_back(team);
   }
@@ -298,9 +308,10 @@
 } // namespace
 
 Figures replayRates(const Trace &trace, DecisionLog &log) {
-  Rates rates{Fleet(trace, log), {}, {}, 0, {}};
+  Rates rates{Fleet(trace, log), {}, {}, 0, 0, {}};
   readTeams(rates, trace);
   rates.LostGrants = trace.Parameters.get("lost_grants", 0.0).asDouble();
+  rates.LateGrants = trace.Parameters.get("late_grants", 0.0).asDouble();
   rates.MeasureFrom = millisOf(trace.Parameters, "measure_from_ms", 15'000);
   rates.Vms.Started = [&](ReplayVm &vm) {
     rates.OnVm[vm.Name] = std::vector<TeamOnVm>(rates.Teams.size());
--- a/src/replay/trace.cpp
+++ b/src/replay/trace.cpp
@@ -9,11 +9,11 @@
 
 /// Misspelt fields would silently make a trace check less.
 std::string unknownField(const Json::Value &root) {
-  static const std::vector<std::string> Known{
+  static const std::vector<std::string> known{
       "name",      "guards",     "kind",   "seed",
       "length_ms", "parameters", "events", "expect"};
   for (const std::string &it : root.getMemberNames())
-    if (std::find(Known.begin(), Known.end(), it) == Known.end())
+    if (std::find(known.begin(), known.end(), it) == known.end())
       return it;
   return "";
 }
