--- a/src/replay/drivers.h
+++ b/src/replay/drivers.h
@@ -15,6 +15,7 @@
 Figures replaySlots(const Trace &trace, DecisionLog &log);
 Figures replayOwnership(const Trace &trace, DecisionLog &log);
 Figures replayOnce(const Trace &trace, DecisionLog &log);
+Figures replayDocuments(const Trace &trace, DecisionLog &log);
 
 } // namespace savorylb::replay
 
--- a/src/replay/main.cpp
+++ b/src/replay/main.cpp
@@ -20,7 +20,8 @@
       {"rates", replayRates},
       {"slots", replaySlots},
       {"ownership", replayOwnership},
-      {"once", replayOnce}};
+      {"once", replayOnce},
+      {"documents", replayDocuments}};
   auto it = drivers.find(kind);
   return it == drivers.end() ? nullptr : it->second;
 }
