--- a/src/replay/drivers.h
+++ b/src/replay/drivers.h
@@ -16,6 +16,7 @@
 Figures replayOwnership(const Trace &trace, DecisionLog &log);
 Figures replayOnce(const Trace &trace, DecisionLog &log);
 Figures replayDocuments(const Trace &trace, DecisionLog &log);
+Figures replayRollout(const Trace &trace, DecisionLog &log);
 
 } // namespace savorylb::replay
 
--- a/src/replay/main.cpp
+++ b/src/replay/main.cpp
@@ -17,11 +17,9 @@
 
 Driver driverOf(const std::string &kind) {
   static const std::map<std::string, Driver> drivers{
-      {"rates", replayRates},
-      {"slots", replaySlots},
-      {"ownership", replayOwnership},
-      {"once", replayOnce},
-      {"documents", replayDocuments}};
+      {"rates", replayRates},         {"slots", replaySlots},
+      {"ownership", replayOwnership}, {"once", replayOnce},
+      {"documents", replayDocuments}, {"rollout", replayRollout}};
   auto it = drivers.find(kind);
   return it == drivers.end() ? nullptr : it->second;
 }
