Correct lenders' levels by their answers, ask five and wait 150 ms

Lenders were ranked by heartbeats up to 1 s old, so the same empty three were asked again, and 50 ms let a request try one lender of another region only.

--- /dev/null
+++ b/src/include/savorylb/lender_choice.h
@@ -0,0 +1,44 @@
+#ifndef SAVORYLB_LENDER_CHOICE_H
+#define SAVORYLB_LENDER_CHOICE_H
+
+#include "savorylb/ids.h"
+#include "savorylb/units.h"
+
+#include <map>
+#include <vector>
+
+namespace savorylb {
+
+/// Peers asked for tokens by one request; each costs a round trip.
+constexpr std::size_t MaxLendersAsked = 5;
+
+/// A peer's level of one team's tokens at a time.
+struct LenderLevel {
+  MicroTokens Level;
+  MonoTime AsOf{};
+};
+
+/// Levels that peers stated in their answers to borrows.
+using LenderLevels = std::map<VmId, LenderLevel>;
+
+/// A peer that may lend.
+struct LenderCandidate {
+  VmId Vm;
+  /// Level of its last heartbeat.
+  LenderLevel Published;
+  bool SameRegion = false;
+};
+
+/// Chooses the peers to ask for tokens, in order.
+///
+/// A level stated in an answer is used until a newer heartbeat comes, so that a
+/// lender that has nothing left is not asked again and again.
+/// \param candidates the peers.
+/// \param stated levels from their answers.
+/// \returns at most MaxLendersAsked peers.
+std::vector<VmId> chooseLenders(const std::vector<LenderCandidate> &candidates,
+                                const LenderLevels &stated);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_LENDER_CHOICE_H
--- a/src/replay/rates_driver.cpp
+++ b/src/replay/rates_driver.cpp
@@ -4,6 +4,7 @@
 #include "drivers.h"
 #include "fleet.h"
 
+#include "savorylb/lender_choice.h"
 #include "savorylb/token_bucket.h"
 
 #include <algorithm>
@@ -14,9 +15,8 @@
 namespace {
 
 // Limits of the daemon's team_shards.cpp.
-constexpr Duration LongestWait = Millis(50);
+constexpr Duration LongestWait = Millis(150);
 constexpr Duration BorrowPause = Millis(20);
-constexpr std::size_t MaxLendersAsked = 3;
 constexpr Duration PublishInterval = Seconds(1);
 /// Callers of a paused VM take this long to go elsewhere.
 constexpr Duration CallerPatience = Millis(300);
@@ -38,7 +38,8 @@
 /// One team on one VM.
 struct TeamOnVm {
   TokenBucket Bucket;
-  MicroTokens Published;
+  LenderLevel Published;
+  LenderLevels Stated;
   bool Borrowing = false;
   Duration PausedUntil{};
   /// Requests that wait for a borrow, by time of arrival.
@@ -84,20 +85,13 @@
   noteDecision(rates.Teams[team].Check, since, fleet.Time.Now, admitted);
 }
 
-/// Peers by published tokens, those of other regions at a quarter.
 Lenders findLenders(Rates &rates, const ReplayVm &vm, std::size_t team) {
-  std::vector<std::pair<std::int64_t, VmId>> found;
+  std::vector<LenderCandidate> candidates;
   for (const ReplayVm &it : rates.Vms.Vms)
-    if (it.Name != vm.Name && rates.Vms.Time.Now - it.LastHeard <= Seconds(3)) {
-      std::int64_t tokens = at(rates, it, team).Published.Value;
-      found.emplace_back(it.Region == vm.Region ? -tokens : -tokens / 4,
-                         it.Name);
-    }
-  std::sort(found.begin(), found.end());
-  Lenders lenders;
-  for (std::size_t n = 0; n < std::min(MaxLendersAsked, found.size()); ++n)
-    lenders.push_back(found[n].second);
-  return lenders;
+    if (it.Name != vm.Name && rates.Vms.Time.Now - it.LastHeard <= Seconds(3))
+      candidates.push_back(
+          {it.Name, at(rates, it, team).Published, it.Region == vm.Region});
+  return chooseLenders(candidates, at(rates, vm, team).Stated);
 }
 
 void borrow(Rates &rates, ReplayVm &vm, std::size_t team, Lenders lenders);
@@ -179,6 +173,7 @@
     MicroTokens lent;
     lend(rates, peer, team, wanted, settled, lent);
     std::uint64_t number = at(rates, peer, team).Bucket.LastGrant;
+    MicroTokens left = at(rates, peer, team).Bucket.Level;
     fleet.Log.note(fleet.Time.Now, peer.Name.Value + " lends " +
                                        std::to_string(lent.Value) + " to " +
                                        vm.Name.Value);
@@ -186,7 +181,9 @@
       return;
     Duration late(
         fleet.Rand.chance(rates.LateGrants) ? fleet.Rand.below(1'000'000) : 0);
+    MonoTime stated(fleet.Time.Now);
     auto receive = [=, &rates, &vm, life = peer.life(), lender = peer.Name] {
+      at(rates, vm, team).Stated[lender] = {left, stated};
       if (lent > MicroTokens(0))
         receiveGrant(rates, vm, team, lender, life, lent, number, asked);
       if (*answered)
@@ -264,7 +261,7 @@
          ++n) {
       TeamOnVm &it = at(rates, vm, n);
       refillBucket(it.Bucket, clockOf(rates.Vms, vm));
-      it.Published = it.Bucket.Level;
+      it.Published = {it.Bucket.Level, MonoTime(rates.Vms.Time.Now)};
     }
 }
 
--- a/src/savorylbd/peer_calls.cpp
+++ b/src/savorylbd/peer_calls.cpp
@@ -91,6 +91,8 @@
   grant.Amount = MicroTokens(reply.micro_tokens());
   grant.Number = reply.grant();
   grant.Lender = Incarnation(reply.incarnation());
+  grant.LevelLeft = MicroTokens(reply.level_micro_tokens());
+  grant.Answered = true;
   return grant;
 }
 
--- a/src/savorylbd/peer_service.cpp
+++ b/src/savorylbd/peer_service.cpp
@@ -92,6 +92,7 @@
     reply->set_micro_tokens(grant.Amount.Value);
     reply->set_grant(grant.Number);
     reply->set_incarnation(grant.Lender.Value);
+    reply->set_level_micro_tokens(grant.LevelLeft.Value);
     return grpc::Status::OK;
   }
 
--- a/src/savorylbd/request_flow.cpp
+++ b/src/savorylbd/request_flow.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr int MaxAttempts = 3;
-constexpr Duration LongestBorrow = Millis(50);
+/// Three round trips to another region; a shorter wait refuses requests whose
+/// tokens lie there.
+constexpr Duration LongestBorrow = Millis(150);
 
 Refusal refuse(int status, const std::string &reason,
                const std::string &detail = "", Duration retryAfter = {}) {
--- a/src/savorylbd/team_shards.cpp
+++ b/src/savorylbd/team_shards.cpp
@@ -5,6 +5,7 @@
 #include "savorylb/clock.h"
 #include "savorylb/event_log.h"
 #include "savorylb/hash.h"
+#include "savorylb/lender_choice.h"
 #include "savorylb/metrics.h"
 
 #include <algorithm>
@@ -16,21 +17,16 @@
 /// without asking again; otherwise a team over its rate would cause a call for
 /// each refused request.
 constexpr Duration BorrowPause = Millis(20);
-constexpr std::size_t MaxLendersAsked = 3;
 
 TeamShard &shardOf(Daemon &daemon, const TeamId &team) {
   return daemon.Teams[stableHash(team.Value) % daemon.Teams.size()];
 }
 
-struct Lender {
-  PeerAddress Address;
-  std::int64_t Tokens = 0;
-};
-
-/// Peers that published tokens of a team, most first; figures count for less
-/// the older they are.
-std::vector<Lender> findLenders(Daemon &daemon, const TeamId &team) {
-  std::vector<Lender> lenders;
+/// Peers that may lend tokens of a team, in the order to ask them.
+std::vector<PeerAddress> findLenders(Daemon &daemon, const TeamId &team,
+                                     const LenderLevels &stated) {
+  std::vector<LenderCandidate> candidates;
+  std::map<VmId, std::string> endpoints;
   MonoTime now = monoNow();
   VmViews vms = knownVms(daemon);
   for (const VmView &it : *vms) {
@@ -40,16 +36,13 @@
     auto level = it.Tokens.find(team);
     if (level == it.Tokens.end())
       continue;
-    std::int64_t tokens = level->second.Value;
-    bool sameRegion = it.Region == daemon.Conf.Region;
-    lenders.push_back(
-        {{it.Name, it.PeerEndpoint}, sameRegion ? tokens : tokens / 4});
+    candidates.push_back(
+        {it.Name, {level->second, it.AsOf}, it.Region == daemon.Conf.Region});
+    endpoints[it.Name] = it.PeerEndpoint;
   }
-  std::sort(
-      lenders.begin(), lenders.end(),
-      [](const Lender &a, const Lender &b) { return a.Tokens > b.Tokens; });
-  if (lenders.size() > MaxLendersAsked)
-    lenders.resize(MaxLendersAsked);
+  std::vector<PeerAddress> lenders;
+  for (const VmId &it : chooseLenders(candidates, stated))
+    lenders.push_back({it, endpoints[it]});
   return lenders;
 }
 
@@ -86,23 +79,25 @@
 bool borrow(Daemon &daemon, TeamShard &shard, const TeamId &team,
             Duration patience) {
   MonoTime limit = monoNow() + patience;
-  for (const Lender &it : findLenders(daemon, team)) {
+  for (const PeerAddress &it :
+       findLenders(daemon, team, shard.StatedLevels[team])) {
     MonoTime sentAt = monoNow();
     if (sentAt >= limit)
       break;
-    SettledGrants settled = std::move(shard.Settled[{team, it.Address.Vm}]);
-    shard.Settled.erase({team, it.Address.Vm});
-    BorrowedGrant granted =
-        callBorrow(daemon, it.Address, team, wantedTokens(shard, team), settled,
-                   limit - sentAt);
+    SettledGrants settled = std::move(shard.Settled[{team, it.Vm}]);
+    shard.Settled.erase({team, it.Vm});
+    BorrowedGrant granted = callBorrow(
+        daemon, it, team, wantedTokens(shard, team), settled, limit - sentAt);
+    if (granted.Answered)
+      shard.StatedLevels[team][it.Vm] = {granted.LevelLeft, sentAt};
     if (granted.Amount == MicroTokens(0))
       continue;
     countEvent("tokens_borrowed", granted.Amount.Value / OneToken.Value);
     logEvent(EventCode::TokensBorrowed,
              {{"team", team.Value},
-              {"lender", it.Address.Vm.Value},
+              {"lender", it.Vm.Value},
               {"micro_tokens", granted.Amount.Value}});
-    if (deposit(daemon, shard, team, granted, it.Address.Vm, sentAt))
+    if (deposit(daemon, shard, team, granted, it.Vm, sentAt))
       return true;
   }
   return false;
@@ -182,6 +177,7 @@
         releaseHold(it->second, number, now);
     grant.Amount = lendTokens(it->second, wanted, now);
     grant.Number = it->second.LastGrant;
+    grant.LevelLeft = it->second.Level;
   }
   if (grant.Amount > MicroTokens(0))
     logEvent(EventCode::TokensLent, {{"team", team.Value},
--- a/src/savorylbd/team_shards.h
+++ b/src/savorylbd/team_shards.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_SAVORYLBD_TEAM_SHARDS_H
 
 #include "savorylb/ids.h"
+#include "savorylb/lender_choice.h"
 #include "savorylb/token_bucket.h"
 
 #include <array>
@@ -24,6 +25,9 @@
   MicroTokens Amount;
   std::uint64_t Number = 0;
   Incarnation Lender;
+  /// The lender's level after the grant, when it answered.
+  MicroTokens LevelLeft;
+  bool Answered = false;
 };
 
 /// Buckets of some teams.
@@ -36,6 +40,8 @@
   std::map<TeamId, MonoTime> BorrowPausedUntil;
   /// Guarded by BorrowLock.
   std::map<std::pair<TeamId, VmId>, SettledGrants> Settled;
+  /// Guarded by BorrowLock.
+  std::map<TeamId, LenderLevels> StatedLevels;
 };
 
 using TeamShards = std::array<TeamShard, 8>;
