Prove good versions, tell all VMs of a stop, start later rollouts

- The test for "no worse" compared with the mean of both rates.
At a small share the good results of the old version weighed for a rise, so a version without failures was not accepted: after 363 good new and 7392 good old requests the share was still 5% 24 s after the start, and 31 of 344 new requests were slow, so slowness was ruled out.
With at least four times as many old requests only the new ones are weighed now.
- A rollout was recorded as late with its first step, since the time since the last raise was counted from the epoch.
- The second rollout of a service began again at revision 1, below the record of the one before, so no VM adopted it: 0 requests to the new version, state waiting.
Revisions now go on from the record before.
- A stop reached other VMs only with the next heartbeats, to four of them.
The VM that stops tells all at once, and those that hear of it tell four more.
No run failed for this; it is from reading the code.
- Requests meant for a new version without a slot go to the old version.
This has no test yet.

--- a/src/libsavorylb/rollout_plan.cpp
+++ b/src/libsavorylb/rollout_plan.cpp
@@ -49,7 +49,10 @@
   plan.Total = std::max(rollout.Spec.Deadline - rollout.Spec.Start, Millis(1));
   auto stages = static_cast<int>(plan.Steps.size()) + 1;
   plan.Dwell = std::clamp(plan.Total / (4 * stages), ShortestStep, LongestStep);
-  plan.Elapsed = now - rollout.Record.RaisedAt;
+  // Nothing was raised yet; the time since the epoch would count as time
+  // without requests and make every rollout late.
+  bool waiting = rollout.Record.Phase == RolloutPhase::Waiting;
+  plan.Elapsed = waiting ? Millis(0) : now - rollout.Record.RaisedAt;
   if (plan.Elapsed < -ClockTolerance)
     plan.Elapsed = plan.Dwell;
   return plan;
--- a/src/libsavorylb/rollout_test.cpp
+++ b/src/libsavorylb/rollout_test.cpp
@@ -148,3 +148,14 @@
   adoptRecord(shortOne, *planRollout(shortOne, WallTime(Millis(1000))));
   CHECK(shortOne.Record.Phase == RolloutPhase::Late);
 }
+
+// Guards against a rollout that is reported late at its start, when the time
+// since the last raise is not known yet.
+TEST(Rollout, StartIsNotLate) {
+  Rollout rollout = simRollout(60);
+  WallTime now(std::chrono::duration_cast<Millis>(std::chrono::hours(500'000)));
+  rollout.Spec.Start = now - Millis(500);
+  rollout.Spec.Deadline = now + Millis(40'000);
+  auto next = planRollout(rollout, now);
+  CHECK(next && next->Phase == RolloutPhase::Running);
+}
--- a/src/libsavorylb/sequential_ratio.cpp
+++ b/src/libsavorylb/sequential_ratio.cpp
@@ -59,6 +59,12 @@
   // The baseline speaks only where the old version has too few requests at the
   // same time; else it would blame the new version for a fault of both.
   bool oldIsRare = counts.OldTotal * 2 < counts.NewTotal;
+  // Against the mean rate, good results of many old requests weigh as much for
+  // a rise as good results of the new version weigh against it, and a version
+  // without failures is never accepted. Where the old rate is known much better
+  // than the new one, as at shares up to a fifth, the new requests alone are
+  // weighed; at larger shares small routes would be accepted too early.
+  bool oldIsKnown = counts.OldTotal >= counts.NewTotal * 4;
   double sum = 0;
   double baseline = 0;
   for (double rise : rises) {
@@ -71,7 +77,11 @@
                        logLikelihood(newGood, newBad, before),
                    500.0));
     if (rise == limits.Rise)
-      evidence.SmallestRise = ratio;
+      evidence.SmallestRise =
+          oldIsKnown
+              ? logLikelihood(newGood, newBad, raised(evidence.OldRate, rise)) -
+                    logLikelihood(newGood, newBad, evidence.OldRate)
+              : ratio;
   }
   evidence.Worse = std::log(sum / rises.size());
   if (oldIsRare)
--- a/src/libsavorylb/sequential_ratio_test.cpp
+++ b/src/libsavorylb/sequential_ratio_test.cpp
@@ -124,3 +124,11 @@
   CHECK(testVersions({0, 0, 50, 50}, TestLimits()) != TestVerdict::Worse);
   CHECK(testVersions({90, 1, 10, 9}, TestLimits()) == TestVerdict::Worse);
 }
+
+// Guards against a good version that is never accepted because neither version
+// fails; 150 new requests are the plan's figure for a proof.
+TEST(SequentialTest, VersionsWithoutFailuresAreAccepted) {
+  CHECK(testVersions({2850, 0, 150, 0}, TestLimits()) == TestVerdict::NoWorse);
+  CHECK(testVersions({600, 0, 150, 0}, TestLimits()) == TestVerdict::NoWorse);
+  CHECK(testVersions({2850, 0, 10, 0}, TestLimits()) != TestVerdict::NoWorse);
+}
--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -52,6 +52,12 @@
   for (const auto &shard : shards) {
     std::lock_guard<std::mutex> guard(shard->Lock);
     const Rollout &rollout = shard->State;
+    // A VM without requests of its own passes a stop on, too.
+    if (rollout.Stopped && rollout.Routes.empty()) {
+      peer::RolloutEvidence &it = *out.Add();
+      it.set_rollout(rollout.Spec.Name.Value);
+      it.set_stop(true);
+    }
     for (const auto &[route, evidence] : rollout.Routes) {
       peer::RolloutEvidence &it = *out.Add();
       it.set_rollout(rollout.Spec.Name.Value);
@@ -96,6 +102,8 @@
 void takeEvidence(
     Daemon &daemon, const VmId &peer, const VmId &source,
     const google::protobuf::RepeatedPtrField<peer::RolloutEvidence> &in) {
+  bool stopped = false;
+  bool first = false;
   for (const peer::RolloutEvidence &it : in) {
     std::vector<std::shared_ptr<RolloutShard>> shards;
     {
@@ -111,14 +119,21 @@
                              it.new_failed()};
       VersionCounts slowness{it.old_total(), it.old_slow(), it.new_total(),
                              it.new_slow()};
-      if (mergeEvidence(shard->State, source, RouteId(it.route()), failures,
-                        slowness, it.stop()))
-        logEvent(EventCode::RolloutStopped,
-                 {{"rollout", it.rollout()},
-                  {"peer", peer.Value},
-                  {"reason", shard->State.StopReason}});
+      if (!mergeEvidence(shard->State, source, RouteId(it.route()), failures,
+                         slowness, it.stop()))
+        continue;
+      stopped = true;
+      first = first || !it.stop();
+      logEvent(EventCode::RolloutStopped,
+               {{"rollout", it.rollout()},
+                {"peer", peer.Value},
+                {"reason", shard->State.StopReason}});
     }
   }
+  // The VM that stopped it may have died before it told all; each VM that hears
+  // of it tells a few at once.
+  if (stopped)
+    sendHeartbeats(daemon, first);
 }
 
 void takeRevisions(
--- a/src/savorylbd/request_flow.cpp
+++ b/src/savorylbd/request_flow.cpp
@@ -139,11 +139,22 @@
                                            {"status", response.Status}});
 }
 
+/// Finds a slot of a version, or of the old one when the new one has none.
+Placement placeVersion(RequestContext &context, const VersionId &version,
+                       const TargetId &avoid) {
+  Placement placed = placeAttempt(context, version, avoid);
+  if (placed.Slot)
+    return placed;
+  VersionId old =
+      fallbackVersion(context.Owner, context.Service->Name, version);
+  return old.empty() ? placed : placeAttempt(context, old, avoid);
+}
+
 /// Finds a slot of a version that is still allowed.
 Placement placeAllowed(RequestContext &context, const TargetId &avoid) {
   VersionId version =
       versionFor(context.Owner, context.Service->Name, context.Route);
-  Placement placed = placeAttempt(context, version, avoid);
+  Placement placed = placeVersion(context, version, avoid);
   if (!placed.Slot)
     return placed;
   // The version may have been stopped while the request waited in a queue.
@@ -151,7 +162,7 @@
                      placed.Slot->Grant.Version)) {
     releasePlaced(context, *placed.Slot, SlotResult::Unused, {}, 0);
     version = versionFor(context.Owner, context.Service->Name, context.Route);
-    placed = placeAttempt(context, version, avoid);
+    placed = placeVersion(context, version, avoid);
   }
   return placed;
 }
--- a/src/savorylbd/rollout_shards.cpp
+++ b/src/savorylbd/rollout_shards.cpp
@@ -1,10 +1,13 @@
 #include "rollout_shards.h"
 
 #include "daemon.h"
+#include "heartbeat.h"
 #include "savorylb/clock.h"
 #include "savorylb/event_log.h"
 #include "savorylb/metrics.h"
 
+#include <algorithm>
+
 namespace savorylb {
 namespace {
 
@@ -35,6 +38,16 @@
                   {"reason", record.Reason}});
 }
 
+/// Adopts a record. All rollouts of a service share one document, so a rollout
+/// counts revisions on from those of the one before; lower ones would be taken
+/// for an old document.
+void takeRecord(Rollout &rollout, const RolloutRecord &record) {
+  if (record.Name == rollout.Spec.Name)
+    adoptRecord(rollout, record);
+  else if (rollout.Record.Phase == RolloutPhase::Waiting)
+    rollout.Record.Rev = std::max(rollout.Record.Rev, record.Rev);
+}
+
 /// Writes a record; another VM may have been first, which is as good.
 void writeRecord(Daemon &daemon, const RolloutRecord &record) {
   std::string key = recordKey(record.Service);
@@ -65,13 +78,14 @@
     bool same = shard && shard->State.Spec.Name == spec.Name;
     if (!same) {
       shard = std::make_shared<RolloutShard>();
+      shard->State.Spec = spec;
       shard->State.Record.Name = spec.Name;
       shard->State.Record.Service = spec.Service;
       CachedDocument held = heldDocument(daemon, recordKey(spec.Service));
       if (!held.Content.empty()) {
         Result<RolloutRecord> record = parseRolloutRecord(held.Content);
-        if (record && record.value().Name == spec.Name)
-          adoptRecord(shard->State, record.value());
+        if (record)
+          takeRecord(shard->State, record.value());
       }
     }
     {
@@ -89,8 +103,7 @@
   if (!shard)
     return;
   std::lock_guard<std::mutex> guard(shard->Lock);
-  if (shard->State.Spec.Name == record.Name)
-    adoptRecord(shard->State, record);
+  takeRecord(shard->State, record);
 }
 
 VersionId versionFor(Daemon &daemon, const ServiceId &service,
@@ -113,6 +126,18 @@
   return version == rollout.Spec.To && (rollout.Stopped || takenBack);
 }
 
+VersionId fallbackVersion(Daemon &daemon, const ServiceId &service,
+                          const VersionId &version) {
+  std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, service);
+  if (!shard || version.empty())
+    return VersionId();
+  std::lock_guard<std::mutex> guard(shard->Lock);
+  const Rollout &rollout = shard->State;
+  bool running = rollout.Record.Phase != RolloutPhase::Done;
+  return running && version == rollout.Spec.To ? rollout.Spec.From
+                                               : VersionId();
+}
+
 void observeRequest(Daemon &daemon, const ServiceId &service,
                     const RouteId &route, const VersionId &version, bool failed,
                     Duration took) {
@@ -131,6 +156,8 @@
                                        {"route", route.Value},
                                        {"version", version.Value},
                                        {"reason", reason}});
+  // The next heartbeat reaches only a few peers, and this VM may die first.
+  sendHeartbeats(daemon, true);
 }
 
 void runRolloutStep(Daemon &daemon) {
--- a/src/savorylbd/rollout_shards.h
+++ b/src/savorylbd/rollout_shards.h
@@ -43,6 +43,11 @@
 bool versionStopped(Daemon &daemon, const ServiceId &service,
                     const VersionId &version);
 
+/// \returns the old version when a request of a rollout under way was meant for
+/// the new one, else nothing. The other way would exceed the share.
+VersionId fallbackVersion(Daemon &daemon, const ServiceId &service,
+                          const VersionId &version);
+
 /// Records how a request ended.
 void observeRequest(Daemon &daemon, const ServiceId &service,
                     const RouteId &route, const VersionId &version, bool failed,
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -81,6 +81,7 @@
 start_targets() {
   "$BIN/standins/targetstandin" --list "${2:-$DEPLOY/targets.json}" \
     --control-port $((STORE_PORT + 2)) --service-ms "$1" --seed 1 \
+    --distribution "${DISTRIBUTION:-exponential}" \
     --forbidden-value demo-key-not-secret > "$WORK/targets.log" 2>&1 &
   PIDS[targets]=$!
   await 10 "the targets" ask "$TARGET_CONTROL/counts"
@@ -139,7 +140,7 @@
   local daemons=()
   for it in "${@:-${VMS[@]}}"; do daemons+=(--daemon "$(caller "$it")"); done
   "$BIN/standins/loadgen" "${daemons[@]}" --plan "$plan" --seconds "$seconds" \
-    --threads 200 --max-in-flight 400 --seed "${SEED:-7}" --report "$report" \
+    --threads "${LOAD_THREADS:-200}" --max-in-flight "${MAX_IN_FLIGHT:-400}" --seed "${SEED:-7}" --report "$report" \
     > "$report.out" 2> "$report.table" &
   PIDS[load]=$!
 }
@@ -192,3 +193,88 @@
   jq -n --slurpfile c "$DEPLOY/config.json" --slurpfile k "$DEPLOY/keys.json" \
     --argjson part "$1" --arg only "${2:-}" -f "$ROOT/testsuite/plan.jq" > "$WORK/plan.json"
 }
+
+# tiles_plan RATE: writes a plan of open traffic from the clients of all regions.
+tiles_plan() {
+  jq -n --argjson rate "$1" '{streams: [("10.1.0.1", "10.2.0.1", "10.3.0.1") as $client |
+    {team: "public-charts", service: "tiles", rate: ($rate / 3), path: "/tiles/item",
+     deadline_ms: 3000, client: $client}]}' > "$WORK/plan.json"
+}
+
+# events NAME: prints the events of this name of all VMs.
+events() {
+  for it in "${VMS[@]}"; do grep -h "\"$1\"" "$WORK/$it.log"; done |
+    jq -c --arg name "$1" 'select(.name == $name)'
+}
+
+# start_rollout SECONDS [NAME]: starts a rollout that is due in so many seconds.
+start_rollout() {
+  DEADLINE=$(($(date +%s) + $1))
+  STARTED_MS=$(now_ms)
+  ROLLOUT=${2:-tiles-v2}
+  jq --argjson now "$(date +%s)" --argjson due "$DEADLINE" --arg name "$ROLLOUT" \
+    '.name = $name | .start = ($now | todate) | .deadline = ($due | todate)' \
+    "$DEPLOY/rollout.json" > "$WORK/rollout.json"
+  ctl rollout start "$WORK/rollout.json"
+}
+
+rollout_state() { ctl --json rollout status | jq -r '[.. | objects | select(has("share_percent"))][0].state'; }
+rollout_is() { [ "$(rollout_state)" = "$1" ]; }
+
+# Checks that the share of v2 was never above the share in force, from the start
+# of the last rollout on. A daemon may be ahead by less than one request, so the
+# bound is one request a daemon.
+check_share() {
+  ask "$TARGET_CONTROL/counts" > "$WORK/targets.json"
+  # A step of a rollout that is late is recorded as rollout_late.
+  { events rollout_stepped; events rollout_late; } |
+    jq -s --arg name "$ROLLOUT" 'map(select(.rollout == $name)) | sort_by(.time_ms)' > "$WORK/steps.json"
+  jq -n --slurpfile c "$WORK/targets.json" --slurpfile e "$WORK/steps.json" --argjson vms "${#VMS[@]}" \
+    --argjson start "$STARTED_MS" '
+    $c[0].totals.versions as $v | $e[0] as $steps |
+    # Requests reach the target up to 200 ms after the choice of their version.
+    [$v.v1.by_second | to_entries[] | (.key | tonumber) as $s | select($s * 1000 > $start - 1000) |
+     ($v.v2.by_second[.key] // 0) as $new | [$steps[] | select(.time_ms < $s * 1000 + 1200)] as $known |
+     {second: $s, new: $new, all: (.value + $new), share: ([$known[].share_ppm] | max // 0),
+      proven: any($known[]; .proven)}] as $rows | [$rows[] | select(.proven | not)] as $unproven |
+    {above: [$rows[] | select(.new > .all * .share / 1e6 + $vms)],
+     unproven_share: ([$steps[] | select(.proven | not) | .share_ppm] | max // 0),
+     unproven_new: ([$unproven[].new] | add // 0), unproven_all: ([$unproven[].all] | add // 0),
+     new: ([$rows[].new] | add // 0), steps: [$steps[] | [.time_ms - $start, .share_ppm]]}' > "$WORK/share.json"
+  check "v2 was used" '.new > 0' "$WORK/share.json"
+  check "no second with more of v2 than the share in force" '.above == []' "$WORK/share.json"
+  check "no share above the cap while unproven" '.unproven_share <= 50000' "$WORK/share.json"
+  check "v2 got at most the cap while unproven" \
+    ".unproven_new <= .unproven_all * 0.05 + ${#VMS[@]}" "$WORK/share.json"
+  jq -c . "$WORK/share.json"
+}
+
+# Time of the first stop since the start of the last rollout, or nothing.
+stopped_at() {
+  events rollout_stopped | jq -s --argjson start "$STARTED_MS" \
+    'map(select(.time_ms >= $start)) | min_by(.time_ms) // empty | .time_ms'
+}
+is_stopped() { [ -n "$(stopped_at)" ]; }
+
+# Checks that v2 gets nothing later than 2 s after the first daemon stopped it.
+check_stopped() {
+  local stopped
+  stopped=$(stopped_at)
+  sleep 3.5
+  echo "stopped after $((stopped - STARTED_MS)) ms:" \
+    "$(events rollout_stopped | jq -s --argjson start "$STARTED_MS" 'map(select(.time_ms >= $start))[0].reason')"
+  check_share
+  check_equal "requests to v2 later than 2 s after the stop" 0 "$(jq --argjson at "${stopped:-0}" \
+    '[.totals.versions.v2.by_second | to_entries[] | select((.key | tonumber) * 1000 >= $at + 2000) | .value] | add // 0' \
+    "$WORK/targets.json")"
+}
+
+# Checks that the rollout is recorded as taken back, once, and stays so.
+check_taken_back() {
+  await 5 "the record of the taking back" rollout_is "taken back"
+  sleep 2
+  check_equal "the rollout is recorded as taken back" "taken back" "$(rollout_state)"
+  check_equal "recorded once" 1 "$(events rollout_taken_back | grep -c "\"$ROLLOUT\"")"
+  check_equal "never done" 0 "$(events rollout_done | wc -l)"
+}
+v2_fault() { put "$TARGET_CONTROL/set?service=tiles&with_version=v2&$1"; }
