--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -159,6 +159,7 @@
   fillRevisions(daemon, *request.mutable_revisions());
   fillEvidence(daemon, *request.mutable_evidence());
   fillOthers(daemon, peer.Vm, *request.mutable_others());
+  countPeerMessage(request);
   pending->Stub->async()->Heartbeat(
       &pending->Context, &pending->Request, &pending->Reply,
       [pending, &daemon, peer](const grpc::Status &status) {
@@ -238,6 +239,7 @@
   fillRevisions(daemon, *reply.mutable_revisions());
   fillEvidence(daemon, *reply.mutable_evidence());
   fillOthers(daemon, sender, *reply.mutable_others());
+  countPeerMessage(reply);
 }
 
 void pullNewerDocuments(Daemon &daemon) {
--- a/src/savorylbd/peer_calls.cpp
+++ b/src/savorylbd/peer_calls.cpp
@@ -45,6 +45,7 @@
   grpc::Status status = ((*stub).*method)(&context, request, &reply);
   noteCall(daemon, peer.Vm, status.ok());
   countEvent("peer_calls");
+  countPeerMessage(request);
   return status;
 }
 
@@ -58,6 +59,12 @@
 
 } // namespace
 
+void countPeerMessage(const google::protobuf::MessageLite &message) {
+  countEvent("peer_messages_sent");
+  countEvent("peer_bytes_sent",
+             static_cast<std::int64_t>(message.ByteSizeLong()));
+}
+
 bool callHeartbeat(Daemon &daemon, const PeerAddress &peer,
                    const peer::HeartbeatRequest &request,
                    peer::HeartbeatReply &reply) {
--- a/src/savorylbd/peer_calls.h
+++ b/src/savorylbd/peer_calls.h
@@ -19,6 +19,11 @@
   std::string Endpoint;
 };
 
+/// Counts a message sent to a peer, so that `/metrics` shows what the control
+/// traffic costs.
+/// \param message a request or a reply, without the framing of gRPC.
+void countPeerMessage(const google::protobuf::MessageLite &message);
+
 /// \returns false when the peer could not be reached in time.
 bool callHeartbeat(Daemon &daemon, const PeerAddress &peer,
                    const peer::HeartbeatRequest &request,
--- a/src/savorylbd/peer_service.cpp
+++ b/src/savorylbd/peer_service.cpp
@@ -77,6 +77,7 @@
         handleRenew(Owner, VmId(request->holder().vm()),
                     Incarnation(request->holder().incarnation()),
                     Incarnation(request->successor_incarnation())));
+    countPeerMessage(*reply);
     return grpc::Status::OK;
   }
 
@@ -210,6 +211,7 @@
     reply->set_found(!held.Content.empty());
     reply->set_revision(static_cast<std::uint64_t>(held.Rev.Value));
     reply->set_content(held.Content);
+    countPeerMessage(*reply);
     return grpc::Status::OK;
   }
 
--- a/src/standins/loadgen/main.cpp
+++ b/src/standins/loadgen/main.cpp
@@ -1,6 +1,7 @@
 #include "generator.h"
 #include "http_io.h"
 #include "load_options.h"
+#include "lookup_run.h"
 #include "report_table.h"
 
 #include <CLI/CLI.hpp>
@@ -46,7 +47,12 @@
   LoadOptions opt;
   CLI::App app("Generates traffic and reports the outcome of each request");
   app.add_option("--daemon", opt.Daemons, "host:port of a daemon")->required();
-  app.add_option("--plan", opt.PlanFile, "file with the streams")->required();
+  std::string lookups;
+  auto *plan = app.add_option("--plan", opt.PlanFile, "file with the streams");
+  app.add_option("--lookups", lookups,
+                 "only look this service up, at the first daemon, as fast as "
+                 "--threads connections can")
+      ->excludes(plan);
   app.add_option("--seconds", opt.Seconds, "length of the run")
       ->required()
       ->check(CLI::PositiveNumber);
@@ -61,8 +67,17 @@
                "use the daemons in order without a lookup");
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
+  if (opt.PlanFile.empty() && lookups.empty()) {
+    std::cerr << "loadgen: --plan or --lookups is required" << std::endl;
+    return EXIT_FAILURE;
+  }
   try {
-    generate(opt);
+    if (!lookups.empty())
+      std::cout << runLookups({opt.Daemons.front(), lookups, opt.Threads,
+                               opt.Seconds, opt.Seed})
+                << std::endl;
+    else
+      generate(opt);
   } catch (const Poco::Exception &e) {
     std::cerr << "loadgen: " << e.displayText() << std::endl;
     return EXIT_FAILURE;
