Let four VMs of a zone watch all documents

Every daemon woke for each owner map and polled the VM list each second. Now the first four VMs of a zone do so; the others watch the keys with a wait of 10 s and learn the rest by heartbeats.

--- a/src/savorylbd/control_loop.cpp
+++ b/src/savorylbd/control_loop.cpp
@@ -22,6 +22,8 @@
 constexpr Duration StartTime = Seconds(5);
 constexpr Duration RolloutInterval = Millis(500);
 constexpr Duration VmListInterval = Millis(1000);
+/// VMs that hear of departing ones by heartbeats read the list each 10 s.
+constexpr int VmListSparse = 10;
 constexpr Duration ProbeInterval = Millis(1000);
 constexpr Duration PullInterval = Millis(250);
 constexpr Duration StopPoll = Millis(50);
@@ -99,7 +101,10 @@
     askForViews(it);
   }));
   threads.push_back(repeat(daemon, RolloutInterval, runRolloutStep));
-  threads.push_back(repeat(daemon, VmListInterval, pollVmList));
+  threads.push_back(repeat(daemon, VmListInterval, [n = 0](Daemon &it) mutable {
+    if (n++ % VmListSparse == 0 || watchesAllDocuments(it))
+      pollVmList(it);
+  }));
   threads.emplace_back([&daemon] { runOwnership(daemon); });
   threads.emplace_back([&daemon] { watchStore(daemon); });
   for (int worker = 0; worker < ProbeWorkers; ++worker)
--- a/src/savorylbd/store_watch.cpp
+++ b/src/savorylbd/store_watch.cpp
@@ -13,6 +13,15 @@
 /// A waiting watch is renewed this often, which also confirms that the store
 /// can be reached and bounds the age of the keys.
 constexpr Duration WatchWait = Seconds(2);
+/// VMs of a zone that watch all documents. The others learn of changes by
+/// heartbeats, so that a changed owner map does not wake the whole fleet.
+constexpr std::size_t WatchersPerZone = 4;
+/// The others watch only the keys, which must stop within 3 s; the wait bounds
+/// the age of the keys far below its limit of 30 s.
+constexpr Duration KeysWatchWait = Seconds(10);
+/// Without any watcher heard of for this long, a VM that reaches the store
+/// watches all documents itself.
+constexpr Duration WatcherSilence = Seconds(6);
 constexpr Duration FirstBackoff = Millis(100);
 constexpr Duration LongestBackoff = Seconds(2);
 
@@ -42,23 +51,59 @@
                     DocumentSource::Store);
 }
 
+/// \returns whether any other VM said lately that it reaches the store.
+bool othersReachStore(Daemon &daemon) {
+  MonoTime now = monoNow();
+  VmViews vms = knownVms(daemon);
+  return std::any_of(vms->begin(), vms->end(), [&](const VmView &it) {
+    return it.Name != daemon.Conf.Vm && it.StoreContact &&
+           now - it.AsOf <= VmSilenceLimit;
+  });
+}
+
 } // namespace
 
+bool watchesAllDocuments(Daemon &daemon) {
+  MonoTime now = monoNow();
+  VmViews vms = knownVms(daemon);
+  std::size_t before = 0;
+  for (const VmView &it : *vms)
+    if (it.Zone == daemon.Conf.Zone && it.Name < daemon.Conf.Vm &&
+        !it.Departing && now - it.AsOf <= VmSilenceLimit)
+      ++before;
+  return before < WatchersPerZone;
+}
+
 void watchStore(Daemon &daemon) {
   std::uint64_t index = 0;
   Duration backoff = FirstBackoff;
+  MonoTime lastListed{};
+  MonoTime watcherHeardAt{};
+  bool watchedAll = true;
   while (!daemon.Stopping) {
     MonoTime askedAt = monoNow();
+    if (othersReachStore(daemon))
+      watcherHeardAt = askedAt;
+    bool all = lastListed == MonoTime{} || watchesAllDocuments(daemon) ||
+               askedAt - watcherHeardAt > WatcherSilence;
+    if (all != watchedAll)
+      index = 0;
+    watchedAll = all;
     Result<StoreListing> listing =
-        daemon.Store.List(DocumentPrefix, index, WatchWait);
+        all ? daemon.Store.List(DocumentPrefix, index, WatchWait)
+            : daemon.Store.List(KeysKey, index, KeysWatchWait);
     noteStoreContact(daemon, listing.has_value(), askedAt);
     if (!listing) {
       index = 0;
+      // After a common outage the watchers are heard of again first.
+      watcherHeardAt = monoNow();
       sleepUnlessStopping(daemon, jittered(backoff));
       backoff = std::min(backoff * 2, LongestBackoff);
       continue;
     }
     backoff = FirstBackoff;
+    if (all)
+      lastListed = askedAt;
     // A store that was restored counts from a lower index again.
     index = listing.value().Index < index ? 0 : listing.value().Index;
     offerListing(daemon, listing.value());
--- a/src/savorylbd/store_watch.h
+++ b/src/savorylbd/store_watch.h
@@ -5,6 +5,10 @@
 
 struct Daemon;
 
+/// \returns whether this VM is one of the few of its zone that watch all
+/// documents and poll the VM list each second.
+bool watchesAllDocuments(Daemon &daemon);
+
 /// Watches the store until the daemon stops; runs in its own thread.
 void watchStore(Daemon &daemon);
 
