Wake background threads only when they have work

Each of about ten threads woke every 50 ms to look for a stop, and all views were copied each 100 ms. A condition variable now ends the waits, and large fleets copy the views less often.

--- a/src/savorylbd/control_loop.cpp
+++ b/src/savorylbd/control_loop.cpp
@@ -9,6 +9,7 @@
 #include "store_watch.h"
 #include "target_probes.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace savorylb {
@@ -26,18 +27,13 @@
 constexpr int VmListSparse = 10;
 constexpr Duration ProbeInterval = Millis(1000);
 constexpr Duration PullInterval = Millis(250);
-constexpr Duration StopPoll = Millis(50);
 constexpr int ProbeWorkers = 3;
 
-/// Sleeps in short parts, so that a stop is noticed.
+/// Waits without waking up in between; a stop ends the wait.
 void pause(Daemon &daemon, Duration span) {
-  MonoTime until = monoNow() + span;
-  while (!daemon.Stopping) {
-    Duration left = until - monoNow();
-    if (left <= Duration(0))
-      return;
-    std::this_thread::sleep_for(std::min(left, StopPoll));
-  }
+  std::unique_lock<std::mutex> guard(daemon.StopLock);
+  daemon.StopSignal.wait_for(guard, span,
+                             [&daemon] { return daemon.Stopping.load(); });
 }
 
 std::thread repeat(Daemon &daemon, Duration interval,
@@ -63,11 +59,23 @@
   setGauge("lease_held", licensed ? 1 : 0);
 }
 
+/// The copy of all views costs time in proportion to the fleet, so a large one
+/// is copied less often: each tick up to 64 VMs, each second from 640 VMs on.
+bool viewsDue(Daemon &daemon) {
+  constexpr std::size_t VmsPerTick = 64;
+  constexpr std::size_t LongestWait = 10;
+  std::size_t wait =
+      std::min(LongestWait, 1 + knownVms(daemon)->size() / VmsPerTick);
+  static std::size_t ticks = 0;
+  return ++ticks % wait == 0;
+}
+
 void tick(Daemon &daemon) {
   noteLease(daemon);
   tickServices(daemon);
   tickLedger(daemon);
-  refreshViews(daemon);
+  if (viewsDue(daemon))
+    refreshViews(daemon);
   tickKeyFreshness(daemon);
   forgetSilentVms(daemon);
 }
--- a/src/savorylbd/daemon.h
+++ b/src/savorylbd/daemon.h
@@ -16,6 +16,8 @@
 #include "team_shards.h"
 
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
 
 namespace savorylb {
 
@@ -45,6 +47,9 @@
   std::atomic<bool> Closing{false};
   /// Background threads end.
   std::atomic<bool> Stopping{false};
+  /// Wakes the background threads when they are to end.
+  std::mutex StopLock;
+  std::condition_variable StopSignal;
   /// Keys are fresh enough to serve keyed requests.
   std::atomic<bool> KeysInForce{true};
   std::atomic<int> RequestsInFlight{0};
--- a/src/savorylbd/main.cpp
+++ b/src/savorylbd/main.cpp
@@ -82,7 +82,11 @@
   ControlThreads threads = startControl(daemon);
   waitForStop(daemon);
   finishDrain(daemon, *callers);
-  daemon.Stopping = true;
+  {
+    std::lock_guard<std::mutex> guard(daemon.StopLock);
+    daemon.Stopping = true;
+  }
+  daemon.StopSignal.notify_all();
   for (std::thread &it : threads)
     it.join();
   peers.Server->Shutdown(std::chrono::system_clock::now() + PeerStopLimit);
