--- a/src/standins/loadgen/lookup_run.cpp
+++ b/src/standins/loadgen/lookup_run.cpp
@@ -90,7 +90,8 @@
 
 std::string runLookups(const LookupRun &run) {
   auto start = steady_clock::now();
-  auto until = start + microseconds(static_cast<std::int64_t>(run.Seconds * 1e6));
+  auto until =
+      start + microseconds(static_cast<std::int64_t>(run.Seconds * 1e6));
   std::vector<Tally> tallies(static_cast<std::size_t>(run.Connections));
   std::vector<std::thread> threads;
   for (std::size_t i = 0; i < tallies.size(); ++i)
@@ -108,14 +109,14 @@
   auto percentile = [&](std::size_t per100) {
     return all.Micros.empty()
                ? Json::Value()
-               : Json::Value(all.Micros[(all.Micros.size() - 1) * per100 / 100]);
+               : Json::Value(
+                     all.Micros[(all.Micros.size() - 1) * per100 / 100]);
   };
   Json::Value out;
   out["lookups"] = Json::UInt64(all.Good);
   out["failed"] = Json::UInt64(all.Failed);
-  out["per_second"] =
-      static_cast<double>(all.Good) /
-      duration<double>(steady_clock::now() - start).count();
+  out["per_second"] = static_cast<double>(all.Good) /
+                      duration<double>(steady_clock::now() - start).count();
   out["p50_us"] = percentile(50);
   out["p99_us"] = percentile(99);
   return compactJson(out);
--- a/testsuite/capacity/fleet.sh
+++ b/testsuite/capacity/fleet.sh
@@ -95,10 +95,14 @@
 
 # Counts of members that hold their lease, from the store's own documents and
 # each daemon's status.
-statuses() {
-  local urls=() i
-  for ((i = 0; i < N; ++i)); do urls+=("http://127.0.0.1:$((18000 + i))/v1/status"); done
-  curl -s -m 3 --parallel --parallel-max 40 "${urls[@]}" 2> /dev/null
+statuses() { fetch_all v1/status; }
+# Separate files, since parallel transfers would mix their parts in one stream.
+fetch_all() {
+  rm -rf "$WORK/fetched"
+  mkdir -p "$WORK/fetched"
+  curl -s -m 3 --parallel --parallel-max 30 -o "$WORK/fetched/#1" \
+    "http://127.0.0.1:[18000-$((18000 + N - 1))]/$1" > /dev/null 2>&1
+  cat "$WORK/fetched/"*
 }
 serving() { statuses | jq -s '[.[] | select(.membership.member and .membership.lease_held)] | length'; }
 await_members() { # SECONDS; prints the milliseconds since the start, or -1
@@ -128,9 +132,6 @@
   done | awk '{t += $1; if ($1 > m) m = $1} END {print t / NR, m}'
 }
 metric() { # NAME: the sum over all daemons
-  local urls=() i
-  for ((i = 0; i < N; ++i)); do urls+=("http://127.0.0.1:$((18000 + i))/metrics"); done
-  curl -s -m 3 --parallel --parallel-max 40 "${urls[@]}" 2> /dev/null \
-    | awk -v name="savorylb_$1_total" '$1 == name {t += $2} END {print t + 0}'
+  fetch_all metrics | awk -v name="savorylb_$1_total" '$1 == name {t += $2} END {print t + 0}'
 }
 log_lines() { cat "$WORK"/vm-*.log | wc -l; }
--- a/testsuite/capacity/fleet_size.sh
+++ b/testsuite/capacity/fleet_size.sh
@@ -30,7 +30,7 @@
   rss=$(resident_kb)
   # How much of the fleet each daemon knows freshly enough for a lookup.
   statuses > "$WORK/statuses"
-  local fresh
+  local fresh own_fresh
   fresh=$(jq -s '[.[] | [.vms[] | select(.age_ms <= 3000)] | length] | add / length' "$WORK/statuses")
   own_fresh=$(jq -s '[.[] | .zone as $z | [.vms[] | select(.zone == $z and .age_ms <= 3000)] | length] | add / length' "$WORK/statuses")
   # A configuration change, in force when all daemons hold the new revision.
