--- a/src/libsavorylb/rollout_plan.cpp
+++ b/src/libsavorylb/rollout_plan.cpp
@@ -90,6 +90,12 @@
                      missing / rate, static_cast<double>(plan.Total.count()))));
 }
 
+/// A rollout stays open for half its time: a version that turns bad after all
+/// steps is still compared with the control share of the old version.
+WallTime soakedAt(const RolloutSpec &spec) {
+  return spec.Start + (spec.Deadline - spec.Start) / 2;
+}
+
 } // namespace
 
 std::optional<RolloutRecord> planRollout(const Rollout &rollout, WallTime now) {
@@ -118,7 +124,7 @@
   bool ready =
       first || (due && plan.Elapsed >= plan.Dwell && !isSuspect(rollout));
   if (plan.Next == plan.Steps.size()) {
-    if (ready && next.Proven) {
+    if (ready && next.Proven && now >= soakedAt(rollout.Spec)) {
       next.Phase = RolloutPhase::Done;
       next.Reason = "all steps passed";
       return next;
