--- a/src/savorylbd/fault_injection.cpp
+++ b/src/savorylbd/fault_injection.cpp
@@ -42,7 +42,7 @@
   daemon.Faults.StoreBlocked = store;
 }
 
-StoreClient partitionedStore(Daemon &daemon, StoreClient store) {
+StoreClient partitionedStore(Daemon &daemon, const StoreClient &store) {
   StoreClient cut = store;
   cut.Get = [&daemon, store](const std::string &key) -> Result<StoreValue> {
     if (isStoreBlocked(daemon))
--- a/src/savorylbd/fault_injection.h
+++ b/src/savorylbd/fault_injection.h
@@ -36,7 +36,7 @@
 
 /// \returns a client that fails like a lost connection while the store is cut
 /// off.
-StoreClient partitionedStore(Daemon &daemon, StoreClient store);
+StoreClient partitionedStore(Daemon &daemon, const StoreClient &store);
 
 } // namespace savorylb
 
