--- a/src/libsavorylb/key_ring.cpp
+++ b/src/libsavorylb/key_ring.cpp
@@ -1,5 +1,7 @@
 #include "savorylb/key_ring.h"
 
+#include "json_object.h"
+
 #include <algorithm>
 #include <json/json.h>
 #include <memory>
@@ -68,16 +70,10 @@
 }
 
 Result<KeyRing> parseKeyRing(const std::string &text) {
-  Json::CharReaderBuilder builder;
-  builder["rejectDupKeys"] = true;
-  builder["failIfExtra"] = true;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value root;
-  std::string errors;
-  if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors))
-    return failure(ErrorCode::Malformed, "keys: not JSON: " + errors);
-  if (!root.isObject())
-    return failure(ErrorCode::Malformed, "keys: must be an object");
+  Result<Json::Value> parsed = readJsonObject(text);
+  if (!parsed)
+    return failure(ErrorCode::Malformed, "keys: " + parsed.error().Message);
+  const Json::Value &root = parsed.value();
   if (!root["revision"].isInt64() || root["revision"].asInt64() < 1)
     return failure(ErrorCode::Malformed,
                    "keys: revision must be a positive integer");
--- a/src/libsavorylb/rollout_record.cpp
+++ b/src/libsavorylb/rollout_record.cpp
@@ -1,5 +1,7 @@
 #include "savorylb/rollout.h"
 
+#include "json_object.h"
+
 #include <array>
 #include <json/json.h>
 #include <memory>
@@ -54,16 +56,10 @@
 }
 
 Result<RolloutRecord> parseRolloutRecord(const std::string &text) {
-  Json::CharReaderBuilder builder;
-  builder["rejectDupKeys"] = true;
-  builder["failIfExtra"] = true;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value root;
-  std::string errors;
-  if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors))
-    return malformed("not JSON: " + errors);
-  if (!root.isObject())
-    return malformed("must be an object");
+  Result<Json::Value> parsed = readJsonObject(text);
+  if (!parsed)
+    return malformed(parsed.error().Message);
+  const Json::Value &root = parsed.value();
   for (const char *name : {"id", "service", "state"})
     if (!root[name].isString() || root[name].asString().empty())
       return malformed(std::string(name) + " must be a non-empty string");
