Find the shipped deployments by the source folder in tests

It passed before only because the cached object came from a build without a base directory. Ruled out: a missing file in the clone; the folder is tracked. Before: aborts in build/src/savoryctl, passes in build.

--- a/src/savoryctl/deploy_test.cpp
+++ b/src/savoryctl/deploy_test.cpp
@@ -16,8 +16,10 @@
 
 namespace {
 
+// __FILE__ is relative in a build with ccache's base directory, and tests run
+// in other folders than the compiler.
 std::filesystem::path deployDir() {
-  return std::filesystem::path(__FILE__).parent_path() / "../../deploy";
+  return std::filesystem::path(SAVORY_SOURCE_DIR) / "deploy";
 }
 
 std::string readAll(const std::filesystem::path &path) {
