Measure the stages of a request apart

Added latency was one histogram, so that waiting for a slot, the ledger and the daemon's own work could not be told apart. savorylb_stage_seconds now has body, admit, once, place, target and finish; bench.sh prints each one's median and 99th percentile.

--- a/src/include/savorylb/metrics.h
+++ b/src/include/savorylb/metrics.h
@@ -19,6 +19,11 @@
                   const std::string &region, const std::string &outcome,
                   const std::string &reason, Duration total, Duration added);
 
+/// Counts the time that one request spent in a stage.
+/// \param stage `body`, `admit`, `once`, `place`, `target` or `finish`.
+/// \param took time spent there.
+void countStage(const std::string &stage, Duration took);
+
 /// Adds to a named counter.
 /// \param name counter without the `savorylb_` prefix.
 void countEvent(const std::string &name, std::int64_t n = 1);
--- a/src/libsavoryedge/metrics.cpp
+++ b/src/libsavoryedge/metrics.cpp
@@ -33,6 +33,7 @@
 struct MetricShard {
   std::mutex Lock;
   std::map<std::string, RequestSeries> Requests;
+  std::map<std::string, LatencyHistogram> Stages;
   std::map<std::string, std::int64_t> Counters;
   std::map<std::string, double> Gauges;
 };
@@ -80,6 +81,13 @@
   series.Added(static_cast<double>(added.count()) * 1e-6);
 }
 
+void countStage(const std::string &stage, Duration took) {
+  MetricShard &shard = shardOf(stage);
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  auto it = shard.Stages.try_emplace(stage, makeLatency()).first;
+  it->second(static_cast<double>(took.count()) * 1e-6);
+}
+
 void countEvent(const std::string &name, std::int64_t n) {
   MetricShard &shard = shardOf(name);
   std::lock_guard<std::mutex> guard(shard.Lock);
@@ -103,6 +111,7 @@
   std::ostringstream requests;
   std::ostringstream latency;
   std::ostringstream added;
+  std::ostringstream stages;
   std::ostringstream others;
   for (MetricShard &shard : shards()) {
     std::lock_guard<std::mutex> guard(shard.Lock);
@@ -117,6 +126,9 @@
               << series.Count << '\n';
       renderHistogram(added, "savorylb_added_seconds", labels, series.Added);
     }
+    for (const auto &[stage, latencies] : shard.Stages)
+      renderHistogram(stages, "savorylb_stage_seconds",
+                      "stage=\"" + stage + "\"", latencies);
     for (const auto &[name, value] : shard.Counters)
       others << "# TYPE savorylb_" << name << "_total counter\nsavorylb_"
              << name << "_total " << value << '\n';
@@ -127,6 +139,7 @@
   return "# TYPE savorylb_requests_total counter\n" + requests.str() +
          "# TYPE savorylb_request_seconds histogram\n" + latency.str() +
          "# TYPE savorylb_added_seconds histogram\n" + added.str() +
+         "# TYPE savorylb_stage_seconds histogram\n" + stages.str() +
          others.str();
 }
 
--- a/src/savorylbd/caller_server.cpp
+++ b/src/savorylbd/caller_server.cpp
@@ -9,6 +9,7 @@
 #include "savorylb/event_log.h"
 #include "savorylb/lookup.h"
 #include "savorylb/metrics.h"
+#include "stage_timer.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -165,8 +166,11 @@
   result.Refused = parseRequest(request, context);
   if (!result.Refused)
     result.Refused = checkKeysFresh(daemon, context);
-  if (!result.Refused)
+  if (!result.Refused) {
+    // Includes waiting for a small body to arrive.
+    StageTimer timer("body");
     result.Refused = readBody(request, context);
+  }
   if (!result.Refused)
     result = runRequest(context, sink);
   recordOutcome(daemon, context, result);
--- a/src/savorylbd/request_flow.cpp
+++ b/src/savorylbd/request_flow.cpp
@@ -5,6 +5,7 @@
 #include "savorylb/clock.h"
 #include "savorylb/digest.h"
 #include "savorylb/event_log.h"
+#include "stage_timer.h"
 
 #include <algorithm>
 #include <sstream>
@@ -91,6 +92,7 @@
   request.Body = context.Stream ? context.Stream : &small;
   if (context.BodyLength == 0)
     request.Body = nullptr;
+  StageTimer timer("target");
   TargetResponse response = context.Owner.Targets.Send(request, sink);
   context.TargetTime += response.Took;
   return response;
@@ -154,6 +156,7 @@
 
 /// Finds a slot of a version that is still allowed.
 Placement placeAllowed(RequestContext &context, const TargetId &avoid) {
+  StageTimer timer("place");
   VersionId version =
       versionFor(context.Owner, context.Service->Name, context.Route);
   Placement placed = placeVersion(context, version, avoid);
@@ -218,6 +221,7 @@
 }
 
 bool admit(RequestContext &context, RequestResult &result) {
+  StageTimer timer("admit");
   Duration retryAfter{};
   Duration patience = std::min(LongestBorrow, timeLeft(context) / 10);
   if (admitRequest(context.Owner, context.Team, patience, retryAfter))
--- a/src/savorylbd/request_once.cpp
+++ b/src/savorylbd/request_once.cpp
@@ -2,6 +2,7 @@
 
 #include "savorylb/clock.h"
 #include "savorylb/digest.h"
+#include "stage_timer.h"
 
 #include <algorithm>
 #include <thread>
@@ -125,6 +126,7 @@
 } // namespace
 
 OnceStart startOnce(RequestContext &context) {
+  StageTimer timer("once");
   OnceQuery query;
   query.Identity = context.Identity;
   query.Digest = requestDigest(context);
@@ -155,6 +157,7 @@
 
 void endOnce(RequestContext &context, const OncePermit &permit,
              const std::string &outcome, const StoredAnswer &answer) {
+  StageTimer timer("finish");
   Daemon &daemon = context.Owner;
   if (permit.HomeVm.Vm == daemon.Conf.Vm) {
     finishAtHome(daemon, context.Identity, permit.Home.Partition, permit.Number,
--- /dev/null
+++ b/src/savorylbd/stage_timer.h
@@ -0,0 +1,27 @@
+#ifndef SAVORYLB_SAVORYLBD_STAGE_TIMER_H
+#define SAVORYLB_SAVORYLBD_STAGE_TIMER_H
+
+#include "savorylb/clock.h"
+#include "savorylb/metrics.h"
+
+#include <string>
+
+namespace savorylb {
+
+/// Counts the time from its construction to its end for one stage of a request.
+class StageTimer {
+public:
+  /// \param stage name of the stage in the metrics.
+  explicit StageTimer(const char *stage) : Stage(stage), Start(monoNow()) {}
+  ~StageTimer() { countStage(Stage, monoNow() - Start); }
+  StageTimer(const StageTimer &) = delete;
+  StageTimer &operator=(const StageTimer &) = delete;
+
+private:
+  const char *Stage;
+  MonoTime Start;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_STAGE_TIMER_H
--- a/testsuite/bench.sh
+++ b/testsuite/bench.sh
@@ -26,6 +26,15 @@
     split("0.5 0.9 0.99", ps, " ")
     for (i = 1; i <= 3; ++i) for (j = 1; j <= NR; ++j) if (n[j] >= n[NR] * ps[i]) {
       printf "added latency, %s%%: at most %.2f ms (%d requests)\n", ps[i] * 100, le[j] * 1000, n[NR]; break } }'
+# The same for each stage of a request.
+sed -nE 's/^savorylb_stage_seconds_bucket.*stage="([a-z]+)",le="([^"]+)"\} ([0-9.e+]+)$/\1 \2 \3/p' "$WORK/metrics" |
+  awk '{n[$1 " " $2] += $3} END {for (k in n) {split(k, p, " "); print p[1], (p[2] == "+Inf" ? 1e9 : p[2]), n[k]}}' |
+  sort -k1,1 -k2,2g | awk '
+    $1 != stage {if (stage) print_stage(); stage = $1; rows = 0}
+    {le[++rows] = $2; n[rows] = $3}
+    END {print_stage()}
+    function at(p, j) {for (j = 1; j <= rows; ++j) if (n[j] >= n[rows] * p) return le[j] * 1000}
+    function print_stage() {printf "stage %s: median %.2f ms, 99%% %.2f ms (%d)\n", stage, at(0.5), at(0.99), n[rows]}'
 jq -n --slurpfile a "$WORK/store_before.json" --slurpfile b "$WORK/store_after.json" --argjson s "$seconds" \
   '($b[0].reads + $b[0].writes - $a[0].reads - $a[0].writes) / $s | "store calls a second: \(.)"' -r
 echo "daemon processor time a second: $((-cpu_before / seconds)) ms for ${#VMS[@]} daemons"
