--- a/src/standins/loadgen/lookup_cache.cpp
+++ b/src/standins/loadgen/lookup_cache.cpp
@@ -36,7 +36,8 @@
                          const std::vector<std::string> &daemons, bool direct,
                          ConnectionPool &pool)
     : Plan(plan), Daemons(daemons), Direct(direct), Pool(pool),
-      Next(stableHash(plan.Team + plan.Service) % daemons.size()) {}
+      Next(stableHash(plan.Team + plan.Service + plan.Client) %
+           daemons.size()) {}
 
 LookupResult LookupCache::get() {
   std::lock_guard<std::mutex> guard(Lock);
