Keep one type in each header

Forty headers held two to seven types each, so that a reader had to know that RouteEvidence is in rollout.h or SlotAnswer in service_shard.h. Each type now has a header of its own name; the headers that held them include these and keep their functions, so no source file had to change but one that lacked an include. Ruled out: splitting the source files too, since their functions belong together. Before and after: 34 of 34 unit and trace tests pass. service_shard.h keeps ServiceShards beside ServiceShard, which it holds.

--- a/src/include/savorylb/block_table.h
+++ b/src/include/savorylb/block_table.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_BLOCK_TABLE_H
 #define SAVORYLB_BLOCK_TABLE_H
 
+#include "savorylb/block_entry.h"
 #include "savorylb/config.h"
 #include "savorylb/ids.h"
 
@@ -11,17 +12,6 @@
 
 namespace savorylb {
 
-/// One block of client addresses; eight bytes, so that 530,000 fit in 4 MB.
-struct BlockEntry {
-  std::uint32_t First = 0;
-  std::uint16_t Site = 0;
-  std::uint8_t PrefixLength = 0;
-  /// Prefix length of the smallest enclosing block of the table; this uses the
-  /// byte that alignment would leave unused.
-  std::uint8_t ParentLength = NoParent;
-
-  static constexpr std::uint8_t NoParent = 255;
-};
 static_assert(sizeof(BlockEntry) == 8, "530,000 blocks must fit in 4 MB");
 
 /// Client blocks sorted by first address; the longest prefix wins.
--- a/src/include/savorylb/config.h
+++ b/src/include/savorylb/config.h
@@ -1,49 +1,23 @@
 #ifndef SAVORYLB_CONFIG_H
 #define SAVORYLB_CONFIG_H
 
+#include "savorylb/block_spec.h"
 #include "savorylb/error.h"
 #include "savorylb/finding.h"
 #include "savorylb/ids.h"
+#include "savorylb/link_spec.h"
+#include "savorylb/region_spec.h"
 #include "savorylb/rollout_spec.h"
 #include "savorylb/service.h"
+#include "savorylb/site_spec.h"
 #include "savorylb/team.h"
 #include "savorylb/units.h"
 
-#include <map>
 #include <string>
 #include <vector>
 
 namespace savorylb {
 
-/// A region and its availability zones.
-struct RegionSpec {
-  RegionId Name;
-  std::vector<ZoneId> Zones;
-  /// Operators move all traffic out of a draining region.
-  bool Draining = false;
-};
-
-/// Capacity and delay between two regions, the same both ways.
-struct LinkSpec {
-  RegionId From;
-  RegionId To;
-  ByteCount BytesPerSecond;
-  Duration Delay{};
-};
-
-/// A place where callers are, and how far each region is from it.
-struct SiteSpec {
-  SiteId Name;
-  std::map<RegionId, Duration> Distance;
-};
-
-/// A block of client addresses that belongs to one site.
-struct BlockSpec {
-  /// CIDR notation, such as `10.1.0.0/16`.
-  std::string Cidr;
-  SiteId Site;
-};
-
 /// The whole configuration after its templates were rendered.
 struct Config {
   Revision Rev;
--- a/src/include/savorylb/document_cache.h
+++ b/src/include/savorylb/document_cache.h
@@ -1,36 +1,14 @@
 #ifndef SAVORYLB_DOCUMENT_CACHE_H
 #define SAVORYLB_DOCUMENT_CACHE_H
 
+#include "savorylb/adoption.h"
+#include "savorylb/cached_document.h"
 #include "savorylb/units.h"
 
-#include <cstdint>
-#include <map>
 #include <string>
 
 namespace savorylb {
 
-/// A document of the store as one daemon holds it.
-struct CachedDocument {
-  Revision Rev;
-  std::string Content;
-  /// The store's modify index, for compare-and-swap; 0 when learnt from a peer.
-  std::uint64_t StoreIndex = 0;
-};
-
-/// What to do with a document that was offered.
-enum class Adoption {
-  /// Newer than the own copy.
-  Adopt,
-  /// The same revision and content.
-  Same,
-  /// Older than the own copy: a stale read, a peer that lags.
-  Ignore,
-  /// The store itself holds an older revision: write the own copy back.
-  Repair,
-  /// The same revision with other content; kept as it is and reported.
-  Diverged,
-};
-
 /// Compares an offered document with the own copy.
 /// \param own the own copy, null when there is none.
 /// \param offered revision of the offered one.
--- /dev/null
+++ b/src/include/savorylb/evidence_tests.h
@@ -0,0 +1,20 @@
+#ifndef SAVORYLB_EVIDENCE_TESTS_H
+#define SAVORYLB_EVIDENCE_TESTS_H
+
+#include "savorylb/evidence_window.h"
+#include "savorylb/version_counts.h"
+
+namespace savorylb {
+
+/// The tests of one route, or of all routes together.
+struct EvidenceTests {
+  /// Own counts and those of all peers.
+  VersionCounts Failures;
+  VersionCounts Slowness;
+  EvidenceWindow FailureWindow;
+  EvidenceWindow SlownessWindow{{}, 0.10, 1, 0, false};
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_EVIDENCE_TESTS_H
--- a/src/include/savorylb/fair_queue.h
+++ b/src/include/savorylb/fair_queue.h
@@ -1,7 +1,10 @@
 #ifndef SAVORYLB_FAIR_QUEUE_H
 #define SAVORYLB_FAIR_QUEUE_H
 
+#include "savorylb/enqueue_result.h"
 #include "savorylb/ids.h"
+#include "savorylb/queued_request.h"
+#include "savorylb/team_backlog.h"
 #include "savorylb/units.h"
 
 #include <cstdint>
@@ -11,25 +14,6 @@
 
 namespace savorylb {
 
-/// A request that waits for a slot.
-struct QueuedRequest {
-  std::uint64_t Ticket = 0;
-  TeamId Team;
-  int Weight = 1;
-  VersionId Version;
-  MonoTime EnqueuedAt{};
-  /// Latest time at which a slot is still of use.
-  MonoTime GiveUpAt{};
-  /// Start tag of start-time fair queueing, in virtual time.
-  double StartTag = 0;
-};
-
-/// Waiting requests of one team.
-struct TeamBacklog {
-  int Count = 0;
-  int Weight = 1;
-};
-
 /// Start-time fair queue between teams for one service.
 struct FairQueue {
   int MaxLength = 64;
@@ -44,16 +28,6 @@
   Duration ServiceTime = Millis(20);
 };
 
-/// What became of a request that asked to wait.
-struct EnqueueResult {
-  bool Accepted = false;
-  std::uint64_t Ticket = 0;
-  /// A request of another team that lost its place to this one.
-  std::optional<std::uint64_t> Evicted;
-  /// Expected wait, for `retry_after_ms`.
-  Duration ExpectedWait{};
-};
-
 /// Adds a request when it can expect a slot before it gives up.
 ///
 /// A full queue drops the newest request of the team that is furthest over
--- a/src/include/savorylb/key_ring.h
+++ b/src/include/savorylb/key_ring.h
@@ -3,25 +3,16 @@
 
 #include "savorylb/error.h"
 #include "savorylb/ids.h"
+#include "savorylb/key_entry.h"
+#include "savorylb/key_freshness.h"
 #include "savorylb/units.h"
 
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace savorylb {
 
-/// One granted key; the key itself is never stored.
-struct KeyEntry {
-  /// Lower-case hex SHA-256 of the key.
-  std::string Digest;
-  TeamId Team;
-  /// Operators' name of the key, used to revoke it.
-  std::string Label;
-  bool Revoked = false;
-};
-
 /// All granted keys of the fleet.
 struct KeyRing {
   Revision Rev;
@@ -41,16 +32,6 @@
 /// \returns the team of a key in force, or nothing.
 std::optional<TeamId> teamOfKey(const KeyRing &ring, const std::string &digest);
 
-/// How fresh the keys are, and what peers say of the store.
-struct KeyFreshness {
-  /// Age of the last confirmed contact with the store, own or through peers.
-  Duration Age{};
-  /// Whether at least one VM of every other zone answered lately.
-  bool OtherZonesReached = false;
-  /// Whether any VM heard from reached the store lately.
-  bool AnyStoreContact = false;
-};
-
 /// Decides whether keyed requests are served.
 /// \param freshness what is known.
 /// \param limit age above which a zone that may be partitioned refuses; zero
--- a/src/include/savorylb/lease.h
+++ b/src/include/savorylb/lease.h
@@ -2,6 +2,8 @@
 #define SAVORYLB_LEASE_H
 
 #include "savorylb/ids.h"
+#include "savorylb/lease_candidate.h"
+#include "savorylb/lease_times.h"
 #include "savorylb/units.h"
 
 #include <map>
@@ -9,24 +11,6 @@
 
 namespace savorylb {
 
-/// Time limits of leases between a VM and its successor.
-struct LeaseTimes {
-  /// How long the successor holds off after it granted a lease.
-  Duration Granted = Millis(3000);
-  /// How much of it the holder uses; the rest covers clock drift.
-  Duration Usable = Millis(2500);
-  Duration RenewEvery = Millis(500);
-  /// A gap between two ticks above this counts as a pause of the process.
-  Duration PauseLimit = Millis(2000);
-};
-
-/// A VM that the store may already name as successor, because a write that
-/// names it was sent and its outcome is not known.
-struct LeaseCandidate {
-  MonoTime ValidUntil{};
-  bool Dead = false;
-};
-
 /// The holder's side of a lease: whether this VM may use what it owns.
 struct Lease {
   /// End of the last granted lease, counted from when it was requested.
--- a/src/include/savorylb/lender_choice.h
+++ b/src/include/savorylb/lender_choice.h
@@ -2,6 +2,8 @@
 #define SAVORYLB_LENDER_CHOICE_H
 
 #include "savorylb/ids.h"
+#include "savorylb/lender_candidate.h"
+#include "savorylb/lender_level.h"
 #include "savorylb/units.h"
 
 #include <map>
@@ -12,23 +14,9 @@
 /// Peers asked for tokens by one request; each costs a round trip.
 constexpr std::size_t MaxLendersAsked = 5;
 
-/// A peer's level of one team's tokens at a time.
-struct LenderLevel {
-  MicroTokens Level;
-  MonoTime AsOf{};
-};
-
 /// Levels that peers stated in their answers to borrows.
 using LenderLevels = std::map<VmId, LenderLevel>;
 
-/// A peer that may lend.
-struct LenderCandidate {
-  VmId Vm;
-  /// Level of its last heartbeat.
-  LenderLevel Published;
-  bool SameRegion = false;
-};
-
 /// Chooses the peers to ask for tokens, in order.
 ///
 /// A level stated in an answer is used until a newer heartbeat comes, so that a
--- a/src/include/savorylb/lookup_index.h
+++ b/src/include/savorylb/lookup_index.h
@@ -3,6 +3,8 @@
 
 #include "savorylb/block_table.h"
 #include "savorylb/config.h"
+#include "savorylb/indexed_region.h"
+#include "savorylb/indexed_vm.h"
 #include "savorylb/lookup.h"
 #include "savorylb/vm_view.h"
 
@@ -11,23 +13,6 @@
 
 namespace savorylb {
 
-/// What lookups need of one VM.
-struct IndexedVm {
-  LookupVm Answer;
-  std::uint64_t NameHash = 0;
-  bool Departing = false;
-  MonoTime AsOf{};
-};
-
-/// The VMs of one region; draining regions are used last.
-struct IndexedRegion {
-  RegionId Name;
-  bool Draining = false;
-  std::vector<IndexedVm> Vms;
-  /// Published slots by service, in the order of Vms.
-  std::map<ServiceId, std::vector<PublishedLoad>> Loads;
-};
-
 /// VMs prepared for lookups; rebuilt when heartbeats or a configuration came
 /// in.
 struct LookupIndex {
--- /dev/null
+++ b/src/include/savorylb/lookup_vm.h
@@ -0,0 +1,22 @@
+#ifndef SAVORYLB_LOOKUP_VM_H
+#define SAVORYLB_LOOKUP_VM_H
+
+#include "savorylb/ids.h"
+#include "savorylb/units.h"
+
+#include <string>
+
+namespace savorylb {
+
+/// One VM of an answer.
+struct LookupVm {
+  VmId Name;
+  std::string CallerEndpoint;
+  ZoneId Zone;
+  RegionId Region;
+  Duration Distance{};
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_LOOKUP_VM_H
--- /dev/null
+++ b/src/include/savorylb/once_entry.h
@@ -0,0 +1,29 @@
+#ifndef SAVORYLB_ONCE_ENTRY_H
+#define SAVORYLB_ONCE_ENTRY_H
+
+#include "savorylb/ids.h"
+#include "savorylb/once_state.h"
+#include "savorylb/stored_answer.h"
+#include "savorylb/units.h"
+
+#include <cstdint>
+#include <string>
+
+namespace savorylb {
+
+/// One at-most-once request.
+struct OnceEntry {
+  RequestId Identity;
+  /// Digest over team, method, path and body length.
+  std::string Digest;
+  TeamId Team;
+  OnceState State = OnceState::InProgress;
+  std::uint64_t Number = 0;
+  MonoTime BegunAt{};
+  MonoTime Deadline{};
+  StoredAnswer Answer;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_ONCE_ENTRY_H
--- /dev/null
+++ b/src/include/savorylb/once_home.h
@@ -0,0 +1,16 @@
+#ifndef SAVORYLB_ONCE_HOME_H
+#define SAVORYLB_ONCE_HOME_H
+
+#include "savorylb/ids.h"
+
+namespace savorylb {
+
+/// Where an identity lives.
+struct OnceHome {
+  ZoneId Zone;
+  int Partition = 0;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_ONCE_HOME_H
--- a/src/include/savorylb/once_ledger.h
+++ b/src/include/savorylb/once_ledger.h
@@ -1,14 +1,18 @@
 #ifndef SAVORYLB_ONCE_LEDGER_H
 #define SAVORYLB_ONCE_LEDGER_H
 
+#include "savorylb/begin_result.h"
 #include "savorylb/ids.h"
+#include "savorylb/once_entry.h"
+#include "savorylb/once_home.h"
+#include "savorylb/once_partition.h"
+#include "savorylb/once_state.h"
+#include "savorylb/once_verdict.h"
+#include "savorylb/stored_answer.h"
 #include "savorylb/units.h"
 #include "savorylb/zone_document.h"
 
-#include <map>
-#include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace savorylb {
@@ -16,60 +20,6 @@
 /// Bodies above this size are not kept for repeats.
 constexpr std::size_t MaxStoredBody = std::size_t{64} * 1024;
 
-/// A target's response, kept to answer repeats.
-struct StoredAnswer {
-  int Status = 0;
-  std::vector<std::pair<std::string, std::string>> Headers;
-  std::string Body;
-  bool BodyKept = true;
-};
-
-/// State of an at-most-once request.
-enum class OnceState { InProgress, Done, Unknown };
-
-/// What the home VM tells a forwarding VM.
-enum class OnceVerdict {
-  Go,
-  InProgress,
-  Done,
-  Unknown,
-  Conflict,
-  NotHome,
-  Refused
-};
-
-/// One at-most-once request.
-struct OnceEntry {
-  RequestId Identity;
-  /// Digest over team, method, path and body length.
-  std::string Digest;
-  TeamId Team;
-  OnceState State = OnceState::InProgress;
-  std::uint64_t Number = 0;
-  MonoTime BegunAt{};
-  MonoTime Deadline{};
-  StoredAnswer Answer;
-};
-
-/// Entries of one partition at its home VM, or a replica at the successor.
-struct OncePartition {
-  std::map<RequestId, OnceEntry> Entries;
-  /// Until then an identity never seen here answers Unknown, because entries
-  /// of it may have been lost.
-  MonoTime QuarantinedUntil{};
-  /// Revision of the owner map at which entries may have been lost. An identity
-  /// whose prefix names this revision or a later one was made afterwards.
-  std::int64_t QuarantineRevision = 0;
-  std::uint64_t NextNumber = 1;
-};
-
-/// Answer to a request that wants to run.
-struct BeginResult {
-  OnceVerdict Verdict = OnceVerdict::Refused;
-  std::uint64_t Number = 0;
-  StoredAnswer Answer;
-};
-
 /// Registers a request, or tells what became of its earlier attempt.
 ///
 /// On Go the caller must replicate the new entry before it lets the request
@@ -119,12 +69,6 @@
 /// \returns the revision that its prefix names, 0 without one.
 std::int64_t identityRevision(const RequestId &identity);
 
-/// Where an identity lives.
-struct OnceHome {
-  ZoneId Zone;
-  int Partition = 0;
-};
-
 /// \param identity the request's identity, with or without a zone prefix.
 /// \param zones all configured zones.
 /// \param homeZones zones of the team's first region, for identities without
--- a/src/include/savorylb/placement.h
+++ b/src/include/savorylb/placement.h
@@ -2,10 +2,10 @@
 #define SAVORYLB_PLACEMENT_H
 
 #include "savorylb/config.h"
+#include "savorylb/placement_choice.h"
+#include "savorylb/placement_query.h"
 #include "savorylb/vm_view.h"
 
-#include <cstdint>
-#include <string>
 #include <vector>
 
 namespace savorylb {
@@ -14,28 +14,6 @@
 /// refused than sent on.
 constexpr std::size_t MaxPlacementOwners = 8;
 
-/// One VM to ask for a slot.
-struct PlacementChoice {
-  VmId Owner;
-  bool OtherRegion = false;
-  std::string Reason;
-};
-
-/// What a forwarding VM asks for.
-struct PlacementQuery {
-  VmId Self;
-  ZoneId Zone;
-  RegionId Region;
-  ServiceId Service;
-  VersionId Version;
-  /// Regions the team may use; empty for all.
-  std::vector<RegionId> TeamRegions;
-  bool Spill = true;
-  /// Two random numbers for the power of two choices.
-  std::uint64_t RandomA = 0;
-  std::uint64_t RandomB = 0;
-};
-
 /// Orders the owners to ask for a slot: own zone, own region, then other
 /// regions that published free slots.
 /// \param config the configuration in force.
--- /dev/null
+++ b/src/include/savorylb/response_sink.h
@@ -0,0 +1,22 @@
+#ifndef SAVORYLB_RESPONSE_SINK_H
+#define SAVORYLB_RESPONSE_SINK_H
+
+#include "savorylb/header_list.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace savorylb {
+
+/// Receives a response that is too large to buffer: first status and headers,
+/// then the body as it comes.
+struct ResponseSink {
+  /// Starts the caller's response; null when the caller is gone.
+  std::function<std::ostream *(int status, const HeaderList &headers,
+                               std::int64_t length)>
+      Start;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_RESPONSE_SINK_H
--- a/src/include/savorylb/rollout.h
+++ b/src/include/savorylb/rollout.h
@@ -2,8 +2,14 @@
 #define SAVORYLB_ROLLOUT_H
 
 #include "savorylb/error.h"
+#include "savorylb/evidence_tests.h"
+#include "savorylb/evidence_window.h"
 #include "savorylb/ids.h"
+#include "savorylb/latency_window.h"
+#include "savorylb/rollout_phase.h"
+#include "savorylb/rollout_record.h"
 #include "savorylb/rollout_spec.h"
+#include "savorylb/route_evidence.h"
 #include "savorylb/sequential_test.h"
 #include "savorylb/units.h"
 #include "savorylb/version_choice.h"
@@ -11,39 +17,12 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace savorylb {
 
-/// Where a rollout stands. TakenBack and Done are final.
-enum class RolloutPhase { Waiting, Running, Late, Done, TakenBack };
-
-/// State of a rollout in the store.
-struct RolloutRecord {
-  RolloutId Name;
-  ServiceId Service;
-  Revision Rev;
-  RolloutPhase Phase = RolloutPhase::Waiting;
-  Ppm Share;
-  /// Whether the test accepted "no worse" at least once.
-  bool Proven = false;
-  /// When the share was last raised.
-  WallTime RaisedAt{};
-  std::string Reason;
-};
-
 std::string formatRolloutRecord(const RolloutRecord &record);
 Result<RolloutRecord> parseRolloutRecord(const std::string &text);
 
-/// Latencies of the old version, to tell slow requests.
-struct LatencyWindow {
-  std::vector<Duration> Recent;
-  std::size_t Next = 0;
-  /// 90th percentile of Recent, renewed every few requests; zero while there
-  /// are too few.
-  Duration Threshold{};
-};
-
 /// Share of the old version that is kept at full share until the rollout is
 /// done, so that a late fault is still compared with the old version.
 constexpr Ppm ControlShare{20'000};
@@ -51,43 +30,6 @@
 /// needed to tell a bad version from a fault that hits both.
 constexpr Ppm SuspectShare{500'000};
 
-/// One restarted sequential test: only what came after Start counts, so that a
-/// long good history does not hide a late fault.
-struct EvidenceWindow {
-  VersionCounts Start;
-  /// Bad rate of the old version up to Start.
-  double OldRate = 0.01;
-  /// Tests begun so far; each later one is held to a smaller alpha.
-  int Round = 1;
-  /// Tests since the last raise that accepted "no worse".
-  int Accepted = 0;
-  /// Whether the new version looked worse, though not surely; stays until the
-  /// test ends.
-  bool Suspect = false;
-};
-
-/// The tests of one route, or of all routes together.
-struct EvidenceTests {
-  /// Own counts and those of all peers.
-  VersionCounts Failures;
-  VersionCounts Slowness;
-  EvidenceWindow FailureWindow;
-  EvidenceWindow SlownessWindow{{}, 0.10, 1, 0, false};
-};
-
-/// Evidence of one route.
-struct RouteEvidence {
-  VersionCounts Failures;
-  VersionCounts Slowness;
-  LatencyWindow OldLatency;
-  VersionChoice Choice;
-  /// Totals that peers reported, by VM, kept apart so that a repeated
-  /// heartbeat is not counted twice.
-  std::map<VmId, VersionCounts> PeerFailures;
-  std::map<VmId, VersionCounts> PeerSlowness;
-  EvidenceTests Tests;
-};
-
 /// One rollout on one VM.
 struct Rollout {
   RolloutSpec Spec;
--- a/src/include/savorylb/service.h
+++ b/src/include/savorylb/service.h
@@ -1,33 +1,15 @@
 #ifndef SAVORYLB_SERVICE_H
 #define SAVORYLB_SERVICE_H
 
+#include "savorylb/execution.h"
 #include "savorylb/ids.h"
+#include "savorylb/target_spec.h"
 #include "savorylb/units.h"
 
-#include <string>
 #include <vector>
 
 namespace savorylb {
 
-/// How often a request of a service may run.
-enum class Execution {
-  /// Reads that may be retried on another target.
-  Idempotent,
-  /// Permits, bookings and the like: sent at most once per request identity.
-  AtMostOnce,
-};
-
-/// One target as configured by operators.
-struct TargetSpec {
-  TargetId Name;
-  ZoneId Zone;
-  /// `host:port`.
-  std::string Address;
-  int Slots = 1;
-  VersionId Version;
-  bool Draining = false;
-};
-
 /// One service and its targets.
 struct ServiceSpec {
   ServiceId Name;
--- a/src/include/savorylb/slot_table.h
+++ b/src/include/savorylb/slot_table.h
@@ -2,12 +2,16 @@
 #define SAVORYLB_SLOT_TABLE_H
 
 #include "savorylb/ids.h"
+#include "savorylb/load_report.h"
+#include "savorylb/owned_target.h"
 #include "savorylb/service.h"
+#include "savorylb/slot_grant.h"
+#include "savorylb/slot_refusal.h"
+#include "savorylb/slot_result.h"
 #include "savorylb/units.h"
 
 #include <map>
 #include <optional>
-#include <string>
 
 namespace savorylb {
 
@@ -35,62 +39,6 @@
 /// out every target.
 constexpr Duration TimeoutEvidence = Millis(50);
 
-/// What a target's load endpoint said.
-struct LoadReport {
-  int Slots = 0;
-  int Busy = 0;
-  bool Draining = false;
-  bool Shedding = false;
-  /// When the target measured it: the time of arrival less the stated age and
-  /// the round trip.
-  MonoTime MeasuredAt{};
-};
-
-/// A slot lent to one request.
-struct SlotGrant {
-  std::uint64_t Number = 0;
-  TargetId Target;
-  std::string Address;
-  VersionId Version;
-  MonoTime ExpiresAt{};
-};
-
-/// How a granted request ended, as its forwarding VM reports it.
-enum class SlotResult { Done, Failed, Shed, TimedOut, Unused };
-
-/// One owned target and its slots.
-struct OwnedTarget {
-  TargetSpec Spec;
-  std::map<std::uint64_t, MonoTime> Grants;
-  /// Slots that an earlier owner may still be using, and until when.
-  int InheritedBusy = 0;
-  MonoTime InheritedUntil{};
-  MonoTime OwnedSince{};
-  /// Start of the warm-up; a cold target gets one slot at first.
-  MonoTime WarmSince{};
-  std::optional<LoadReport> Report;
-  /// Slots the target still takes according to its newest report.
-  int ReportedLimit = 0;
-  bool Healthy = true;
-  int FailuresInRow = 0;
-  MonoTime RetryAt{};
-  /// When each grant of Grants was made.
-  std::map<std::uint64_t, MonoTime> GrantedAt;
-  /// Wait before the next probe of a target that was taken out.
-  Duration RetryDelay{};
-  /// Grant that probes the target now, 0 when there is none.
-  std::uint64_t ProbeGrant = 0;
-  /// Whether requests, not only health probes, failed.
-  bool FailedRequests = false;
-  /// When a target that reports no slots may get a probe.
-  MonoTime ProbeAt{};
-  /// Limit after a request was shed, and until when it holds.
-  int ShedLimit = 0;
-  MonoTime ShedUntil{};
-  /// Newest grant, to spread requests among equally busy targets.
-  std::uint64_t LastGrant = 0;
-};
-
 /// The owned targets of one service.
 struct SlotTable {
   ServiceSpec Service;
@@ -100,9 +48,6 @@
   MonoTime NextExpiry = MonoTime::max();
 };
 
-/// Why no slot was granted.
-enum class SlotRefusal { NoTarget, Busy };
-
 /// Starts owning a target; one that is owned already only gets the new spec.
 /// \param table the owner's table.
 /// \param spec the configured target.
--- a/src/include/savorylb/store_client.h
+++ b/src/include/savorylb/store_client.h
@@ -2,28 +2,16 @@
 #define SAVORYLB_STORE_CLIENT_H
 
 #include "savorylb/error.h"
+#include "savorylb/store_listing.h"
+#include "savorylb/store_value.h"
 #include "savorylb/units.h"
 
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <optional>
 #include <string>
 
 namespace savorylb {
 
-/// A value of the store and the index of its last change.
-struct StoreValue {
-  std::string Content;
-  std::uint64_t ModifyIndex = 0;
-};
-
-/// Values under a prefix at one index of the store.
-struct StoreListing {
-  std::map<std::string, StoreValue> Values;
-  std::uint64_t Index = 0;
-};
-
 /// The edge to the platform's key-value store.
 struct StoreClient {
   /// Reads one value; NotFound when there is none.
--- /dev/null
+++ b/src/include/savorylb/team_backlog.h
@@ -0,0 +1,14 @@
+#ifndef SAVORYLB_TEAM_BACKLOG_H
+#define SAVORYLB_TEAM_BACKLOG_H
+
+namespace savorylb {
+
+/// Waiting requests of one team.
+struct TeamBacklog {
+  int Count = 0;
+  int Weight = 1;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_TEAM_BACKLOG_H
--- a/src/include/savorylb/token_bucket.h
+++ b/src/include/savorylb/token_bucket.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_TOKEN_BUCKET_H
 #define SAVORYLB_TOKEN_BUCKET_H
 
+#include "savorylb/capacity_hold.h"
 #include "savorylb/units.h"
 
 #include <cstdint>
@@ -23,14 +24,6 @@
 /// that use is measured.
 constexpr Duration ForecastSpan = Millis(200);
 
-/// Capacity that a bucket may not fill for now.
-struct CapacityHold {
-  MicroTokens Amount;
-  MonoTime Until;
-  /// Number of the grant it stands for; 0 for a hold from a larger share.
-  std::uint64_t Grant = 0;
-};
-
 /// One team's bucket on one VM.
 struct TokenBucket {
   MicroTokens Level;
--- a/src/include/savorylb/vm_list_client.h
+++ b/src/include/savorylb/vm_list_client.h
@@ -3,31 +3,14 @@
 
 #include "savorylb/error.h"
 #include "savorylb/ids.h"
+#include "savorylb/listed_vm.h"
 #include "savorylb/units.h"
+#include "savorylb/vm_listing.h"
 
 #include <functional>
-#include <string>
-#include <vector>
 
 namespace savorylb {
 
-/// One VM as the platform lists it.
-struct ListedVm {
-  VmId Name;
-  ZoneId Zone;
-  RegionId Region;
-  /// Peer endpoint `host:port`.
-  std::string Address;
-  bool Departing = false;
-};
-
-/// The platform's list, which lags behind the truth.
-struct VmListing {
-  std::uint64_t Version = 0;
-  Duration Age{};
-  std::vector<ListedVm> Vms;
-};
-
 /// The edge to the platform's VM list.
 struct VmListClient {
   std::function<Result<VmListing>()> Read;
--- a/src/include/savorylb/vm_view.h
+++ b/src/include/savorylb/vm_view.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_VM_VIEW_H
 
 #include "savorylb/ids.h"
+#include "savorylb/published_load.h"
 #include "savorylb/units.h"
 
 #include <cstdint>
@@ -14,13 +15,6 @@
 /// A VM that was not heard of for this long is left out of lookups.
 constexpr Duration VmSilenceLimit = Seconds(3);
 
-/// Slots that one VM published for a service and version.
-struct PublishedLoad {
-  int FreeSlots = 0;
-  int TotalSlots = 0;
-  int Queued = 0;
-};
-
 /// What this daemon knows of another VM, with the age of the knowledge.
 struct VmView {
   VmId Name;
--- a/src/include/savorylb/zone_document.h
+++ b/src/include/savorylb/zone_document.h
@@ -4,6 +4,7 @@
 #include "savorylb/error.h"
 #include "savorylb/ids.h"
 #include "savorylb/units.h"
+#include "savorylb/zone_member.h"
 
 #include <map>
 #include <string>
@@ -14,19 +15,6 @@
 /// Ledger partitions of each zone.
 constexpr int PartitionCount = 16;
 
-/// One VM of a zone as the owner map has it.
-struct ZoneMember {
-  Incarnation Life;
-  /// `host:port` of the peer interface.
-  std::string PeerEndpoint;
-  std::string CallerEndpoint;
-  /// The only VM that may take this one over; empty in a zone of one.
-  VmId Successor;
-  Incarnation SuccessorLife;
-  /// This VM's part of the fleet's rates.
-  Ppm RatePpm;
-};
-
 /// The owner map of one availability zone, kept in the store.
 struct ZoneDocument {
   Revision Rev;
--- a/src/libsavoryedge/connection_pool.h
+++ b/src/libsavoryedge/connection_pool.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_LIBSAVORYEDGE_CONNECTION_POOL_H
 #define SAVORYLB_LIBSAVORYEDGE_CONNECTION_POOL_H
 
+#include "idle_connection.h"
 #include "savorylb/units.h"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -13,12 +14,6 @@
 
 namespace savorylb {
 
-/// A connection that is kept for another request.
-struct IdleConnection {
-  std::unique_ptr<Poco::Net::HTTPClientSession> Session;
-  MonoTime Since{};
-};
-
 /// Idle connections to targets, in shards by address.
 struct ConnectionPool {
   static constexpr std::size_t ShardCount = 16;
--- a/src/libsavorylb/json_fields.h
+++ b/src/libsavorylb/json_fields.h
@@ -2,7 +2,7 @@
 #define SAVORYLB_LIB_JSON_FIELDS_H
 
 #include "json_source.h"
-
+#include "need.h"
 #include "savorylb/units.h"
 
 #include <cstdint>
@@ -11,9 +11,6 @@
 
 namespace savorylb {
 
-/// Whether a field must be present.
-enum class Need { Required, Optional };
-
 /// Reads the fields of one JSON object and collects what is wrong with them.
 ///
 /// Each field asked for counts as known; finish() reports all others.
--- a/src/libsavorylb/rollout_sim.h
+++ b/src/libsavorylb/rollout_sim.h
@@ -2,37 +2,18 @@
 #define SAVORYLB_ROLLOUT_SIM_H
 
 #include "savorylb/rollout.h"
+#include "sim_outcome.h"
+#include "sim_request.h"
+#include "sim_result.h"
 
 #include <functional>
 #include <random>
 
 namespace savorylb {
 
-/// One simulated request.
-struct SimRequest {
-  int Route = 0;
-  bool IsNew = false;
-  int Number = 0;
-  Ppm Share;
-};
-
-/// How a simulated request ends.
-struct SimOutcome {
-  bool Failed = false;
-  Duration Took{};
-};
-
 using SimServe =
     std::function<SimOutcome(const SimRequest &, std::mt19937_64 &)>;
 
-/// What a simulated rollout came to.
-struct SimResult {
-  int Requests = 0;
-  int NewRequests = 0;
-  int BadNewRequests = 0;
-  RolloutPhase Phase = RolloutPhase::Waiting;
-};
-
 /// Log-normal latencies with a median of 10 ms.
 inline Duration simLatency(std::mt19937_64 &rng, double factor = 1.0) {
   std::lognormal_distribution<double> shape(0, 0.5);
--- /dev/null
+++ b/src/libsavorylb/sim_outcome.h
@@ -0,0 +1,16 @@
+#ifndef SAVORYLB_SIM_OUTCOME_H
+#define SAVORYLB_SIM_OUTCOME_H
+
+#include "savorylb/units.h"
+
+namespace savorylb {
+
+/// How a simulated request ends.
+struct SimOutcome {
+  bool Failed = false;
+  Duration Took{};
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SIM_OUTCOME_H
--- /dev/null
+++ b/src/libsavorylb/sim_result.h
@@ -0,0 +1,18 @@
+#ifndef SAVORYLB_SIM_RESULT_H
+#define SAVORYLB_SIM_RESULT_H
+
+#include "savorylb/rollout_phase.h"
+
+namespace savorylb {
+
+/// What a simulated rollout came to.
+struct SimResult {
+  int Requests = 0;
+  int NewRequests = 0;
+  int BadNewRequests = 0;
+  RolloutPhase Phase = RolloutPhase::Waiting;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SIM_RESULT_H
--- a/src/replay/once_ledgers.cpp
+++ b/src/replay/once_ledgers.cpp
@@ -4,6 +4,7 @@
 #include "once_world.h"
 
 #include <algorithm>
+#include <optional>
 #include <memory>
 
 namespace savorylb::replay {
--- a/src/replay/once_world.h
+++ b/src/replay/once_world.h
@@ -2,20 +2,11 @@
 #define SAVORYLB_REPLAY_ONCE_WORLD_H
 
 #include "fleet.h"
+#include "once_record.h"
 #include "once_vm.h"
 
-#include <set>
-
 namespace savorylb::replay {
 
-/// What really became of one identity.
-struct OnceRecord {
-  int Runs = 0;
-  bool Told = false;
-  bool ToldUnknown = false;
-  std::string FirstAnswer;
-};
-
 /// The fleet with its ledgers, and the truth about all identities.
 struct OnceWorld {
   Fleet Vms;
--- /dev/null
+++ b/src/replay/slot_request.h
@@ -0,0 +1,22 @@
+#ifndef SAVORYLB_REPLAY_SLOT_REQUEST_H
+#define SAVORYLB_REPLAY_SLOT_REQUEST_H
+
+#include "savorylb/units.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace savorylb::replay {
+
+/// One request on its way to a slot.
+struct SlotRequest {
+  std::uint64_t Number = 0;
+  std::size_t Team = 0;
+  int Forwarder = 0;
+  Duration Deadline{};
+  Duration Takes{};
+};
+
+} // namespace savorylb::replay
+
+#endif // SAVORYLB_REPLAY_SLOT_REQUEST_H
--- a/src/replay/slot_world.h
+++ b/src/replay/slot_world.h
@@ -4,6 +4,8 @@
 #include "decision_log.h"
 #include "random.h"
 #include "slot_owner.h"
+#include "slot_request.h"
+#include "slot_team.h"
 #include "true_target.h"
 #include "virtual_time.h"
 
@@ -13,26 +15,6 @@
 
 namespace savorylb::replay {
 
-/// One request on its way to a slot.
-struct SlotRequest {
-  std::uint64_t Number = 0;
-  std::size_t Team = 0;
-  int Forwarder = 0;
-  Duration Deadline{};
-  Duration Takes{};
-};
-
-/// A team's demand, and what became of it.
-struct SlotTeam {
-  TeamId Name;
-  int Weight = 1;
-  double PerSecond = 0;
-  /// What its weight gives it while all slots are wanted.
-  double SharePerSecond = 0;
-  long Sent = 0;
-  long Served = 0;
-};
-
 /// The owners of one service's targets, and the targets as they really are.
 struct SlotWorld {
   VirtualTime Time;
--- a/src/savoryctl/drain_commands.h
+++ b/src/savoryctl/drain_commands.h
@@ -2,26 +2,14 @@
 #define SAVORYCTL_DRAIN_COMMANDS_H
 
 #include "command_result.h"
+#include "drain_kind.h"
+#include "drain_request.h"
 #include "tool_context.h"
 
 #include <string>
-#include <vector>
 
 namespace savorylb {
 
-/// What a drain in the configuration applies to.
-enum class DrainKind { Target, Region };
-
-/// A change of the `draining` mark of a target or region.
-struct DrainRequest {
-  DrainKind Kind = DrainKind::Target;
-  std::string Name;
-  /// Takes the mark away.
-  bool Undo = false;
-  /// Admin endpoints of daemons to ask for the revisions they hold.
-  std::vector<std::string> Daemons;
-};
-
 /// `drain target NAME` and `drain region NAME`.
 CommandResult drainInConfig(const ToolContext &context,
                             const DrainRequest &request);
--- a/src/savoryctl/store_mock.h
+++ b/src/savoryctl/store_mock.h
@@ -1,19 +1,16 @@
 #ifndef SAVORYCTL_STORE_MOCK_H
 #define SAVORYCTL_STORE_MOCK_H
 
+#include "mock_fault.h"
 #include "tool_context.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <string>
-#include <utility>
 
 namespace savorylb {
 
-/// How one compare-and-swap of the mock goes wrong.
-enum class MockFault { None, LostResponse, LostRequest, Refused, Down };
-
 /// An in-memory store for tests, with faults in the order of its writes.
 struct StoreMock {
   std::map<std::string, StoreValue> Values;
--- a/src/savoryctl/store_write.h
+++ b/src/savoryctl/store_write.h
@@ -1,9 +1,10 @@
 #ifndef SAVORYCTL_STORE_WRITE_H
 #define SAVORYCTL_STORE_WRITE_H
 
-#include "tool_context.h"
-
 #include "savorylb/store_client.h"
+#include "tool_context.h"
+#include "write_outcome.h"
+#include "write_report.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,28 +15,6 @@
 /// Largest value that the platform's store takes.
 constexpr std::size_t MaxStoreValue = 1'000'000;
 
-/// How a write ended.
-enum class WriteOutcome {
-  Applied,
-  /// Someone else changed the document first; this write had no effect.
-  Conflict,
-  /// The store took nothing.
-  NotWritten,
-  /// The response was lost and the document has been changed since, so this
-  /// write may have been in force for a while.
-  Superseded,
-  /// The response was lost and the store could not be read.
-  Unknown,
-};
-
-/// A write's outcome and what the store holds instead.
-struct WriteReport {
-  WriteOutcome Outcome = WriteOutcome::Unknown;
-  /// Revision that the store holds when it is not the written one.
-  Revision Other;
-  std::string Message;
-};
-
 /// Reads a document, trying again when the store does not answer.
 /// \returns the value; empty with index 0 when the key does not exist.
 Result<StoreValue> readDocument(const ToolContext &context,
--- a/src/savorylbd/document_state.h
+++ b/src/savorylbd/document_state.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
 #define SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
 
+#include "document_source.h"
 #include "savorylb/document_cache.h"
 #include "savorylb/units.h"
 #include "savorylb/zone_document.h"
@@ -9,7 +10,6 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <vector>
 
 namespace savorylb {
 
@@ -41,9 +41,6 @@
   std::map<std::string, Revision> Rejected;
 };
 
-/// Where an offered document came from.
-enum class DocumentSource { Store, Peer, OwnWrite };
-
 /// \returns the configuration and keys in force.
 SnapshotPtr currentSnapshot(Daemon &daemon);
 
--- a/src/savorylbd/ledger_shards.h
+++ b/src/savorylbd/ledger_shards.h
@@ -1,6 +1,8 @@
 #ifndef SAVORYLB_SAVORYLBD_LEDGER_SHARDS_H
 #define SAVORYLB_SAVORYLBD_LEDGER_SHARDS_H
 
+#include "ledger_shard.h"
+#include "once_query.h"
 #include "savorylb/once_ledger.h"
 #include "savorylb/zone_document.h"
 
@@ -13,16 +15,6 @@
 
 struct Daemon;
 
-/// One ledger partition of the own zone.
-struct LedgerShard {
-  std::mutex Lock;
-  OncePartition Own;
-  /// Copies for the VMs that name this one as their successor.
-  std::map<VmId, OncePartition> Replicas;
-  /// Entries sent ahead by a VM that hands this partition off.
-  std::map<VmId, OncePartition> Incoming;
-};
-
 /// The ledger of the own zone.
 struct LedgerShards {
   std::array<LedgerShard, PartitionCount> Partitions;
@@ -39,15 +31,6 @@
   std::set<int> QuarantineOver;
 };
 
-/// What a forwarding VM asks a home VM.
-struct OnceQuery {
-  RequestId Identity;
-  int Partition = 0;
-  std::string Digest;
-  TeamId Team;
-  Duration Remaining{};
-};
-
 /// Registers a request at this VM when it is the home.
 BeginResult beginAtHome(Daemon &daemon, const OnceQuery &query);
 
--- /dev/null
+++ b/src/savorylbd/peer_address.h
@@ -0,0 +1,18 @@
+#ifndef SAVORYLB_SAVORYLBD_PEER_ADDRESS_H
+#define SAVORYLB_SAVORYLBD_PEER_ADDRESS_H
+
+#include "savorylb/ids.h"
+
+#include <string>
+
+namespace savorylb {
+
+/// A VM to call.
+struct PeerAddress {
+  VmId Vm;
+  std::string Endpoint;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_PEER_ADDRESS_H
--- a/src/savorylbd/peer_calls.h
+++ b/src/savorylbd/peer_calls.h
@@ -3,6 +3,8 @@
 
 #include "ledger_shards.h"
 #include "peer.grpc.pb.h"
+#include "peer_address.h"
+#include "remote_begin.h"
 #include "savorylb/vm_view.h"
 #include "service_shard.h"
 #include "team_shards.h"
@@ -13,12 +15,6 @@
 
 struct Daemon;
 
-/// A VM to call.
-struct PeerAddress {
-  VmId Vm;
-  std::string Endpoint;
-};
-
 /// Counts a message sent to a peer, so that `/metrics` shows what the control
 /// traffic costs.
 /// \param message a request or a reply, without the framing of gRPC.
@@ -46,14 +42,6 @@
                  const TargetId &target, std::uint64_t number,
                  SlotResult result, Duration took);
 
-/// Result of registering a request at another VM.
-struct RemoteBegin {
-  /// The reply arrived.
-  bool Reached = false;
-  /// The request may have been registered although no reply arrived.
-  bool MayHaveBegun = false;
-  BeginResult Begin;
-};
 RemoteBegin callBegin(Daemon &daemon, const PeerAddress &peer,
                       const ZoneId &zone, const OnceQuery &query);
 
--- a/src/savorylbd/peer_directory.h
+++ b/src/savorylbd/peer_directory.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_SAVORYLBD_PEER_DIRECTORY_H
 #define SAVORYLB_SAVORYLBD_PEER_DIRECTORY_H
 
+#include "brief_source.h"
 #include "peer.grpc.pb.h"
 #include "savorylb/lookup_index.h"
 #include "savorylb/vm_view.h"
@@ -59,13 +60,6 @@
 /// Takes in what is known of a VM when it is newer than the own knowledge.
 void mergeView(Daemon &daemon, VmView view);
 
-/// The process that a brief is about.
-struct BriefSource {
-  VmId Name;
-  Incarnation Life;
-  std::string Endpoint;
-};
-
 /// Takes in a brief.
 /// \returns the process; without a name when its whole state is not held.
 BriefSource mergeBrief(Daemon &daemon, const peer::VmBrief &brief,
--- /dev/null
+++ b/src/savorylbd/remote_begin.h
@@ -0,0 +1,19 @@
+#ifndef SAVORYLB_SAVORYLBD_REMOTE_BEGIN_H
+#define SAVORYLB_SAVORYLBD_REMOTE_BEGIN_H
+
+#include "savorylb/begin_result.h"
+
+namespace savorylb {
+
+/// Result of registering a request at another VM.
+struct RemoteBegin {
+  /// The reply arrived.
+  bool Reached = false;
+  /// The request may have been registered although no reply arrived.
+  bool MayHaveBegun = false;
+  BeginResult Begin;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_REMOTE_BEGIN_H
--- a/src/savorylbd/request_once.h
+++ b/src/savorylbd/request_once.h
@@ -1,28 +1,13 @@
 #ifndef SAVORYLB_SAVORYLBD_REQUEST_ONCE_H
 #define SAVORYLB_SAVORYLBD_REQUEST_ONCE_H
 
+#include "once_permit.h"
+#include "once_start.h"
 #include "peer_calls.h"
 #include "request_context.h"
 
-#include <optional>
-
 namespace savorylb {
 
-/// Right to send an at-most-once request, given by its home VM.
-struct OncePermit {
-  OnceHome Home;
-  PeerAddress HomeVm;
-  std::uint64_t Number = 0;
-};
-
-/// Result of asking the home VM.
-struct OnceStart {
-  std::optional<OncePermit> Permit;
-  /// The first attempt's response, for a repeat.
-  std::optional<StoredAnswer> Answer;
-  Refusal Refused;
-};
-
 /// Registers an at-most-once request at its home VM and waits there for an
 /// attempt in progress.
 OnceStart startOnce(RequestContext &context);
--- a/src/savorylbd/request_place.h
+++ b/src/savorylbd/request_place.h
@@ -2,28 +2,12 @@
 #define SAVORYLB_SAVORYLBD_REQUEST_PLACE_H
 
 #include "peer_calls.h"
+#include "placed_slot.h"
+#include "placement.h"
 #include "request_context.h"
 
-#include <optional>
-
 namespace savorylb {
 
-/// A slot for one attempt, and who lent it.
-struct PlacedSlot {
-  SlotGrant Grant;
-  PeerAddress Owner;
-  RegionId Region;
-  bool OtherRegion = false;
-  std::int64_t ReservedBytes = 0;
-};
-
-/// Result of looking for a slot.
-struct Placement {
-  std::optional<PlacedSlot> Slot;
-  std::string Reason;
-  Duration RetryAfter{};
-};
-
 /// Looks for a slot: at once where one is free, else in the queue of an owner.
 /// \param context the request.
 /// \param version wanted version, empty for any.
--- a/src/savorylbd/rollout_shards.h
+++ b/src/savorylbd/rollout_shards.h
@@ -1,24 +1,18 @@
 #ifndef SAVORYLB_SAVORYLBD_ROLLOUT_SHARDS_H
 #define SAVORYLB_SAVORYLBD_ROLLOUT_SHARDS_H
 
+#include "rollout_shard.h"
 #include "savorylb/config.h"
 #include "savorylb/rollout.h"
 
 #include <map>
 #include <memory>
 #include <mutex>
-#include <optional>
 
 namespace savorylb {
 
 struct Daemon;
 
-/// The rollout of one service on this VM.
-struct RolloutShard {
-  std::mutex Lock;
-  Rollout State;
-};
-
 /// Rollouts by service.
 struct RolloutShards {
   std::mutex Lock;
--- a/src/savorylbd/service_shard.h
+++ b/src/savorylbd/service_shard.h
@@ -5,28 +5,20 @@
 #include "savorylb/retry_budget.h"
 #include "savorylb/slot_table.h"
 #include "savorylb/vm_view.h"
+#include "slot_answer.h"
+#include "slot_query.h"
+#include "slot_waiter.h"
 
-#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <set>
 #include <shared_mutex>
-#include <string>
 
 namespace savorylb {
 
 struct Daemon;
 
-/// A request that waits for a slot; owned by its waiting thread.
-struct SlotWaiter {
-  MonoTime ExpiresAt{};
-  bool Done = false;
-  std::optional<SlotGrant> Grant;
-  std::condition_variable Ready;
-};
-
 /// Owned targets of one service and the requests that wait for them.
 struct ServiceShard {
   std::mutex Lock;
@@ -45,27 +37,6 @@
   std::map<TargetId, ServiceId> ServiceOfTarget;
 };
 
-/// What a forwarding VM asks an owner for.
-struct SlotQuery {
-  ServiceId Service;
-  VersionId Version;
-  TeamId Team;
-  int Weight = 1;
-  Duration Remaining{};
-  Duration MaxWait{};
-  TargetId Avoid;
-  VmId Forwarder;
-  /// Follows one request through the logs of all daemons.
-  std::string Trace;
-};
-
-/// An owner's answer.
-struct SlotAnswer {
-  std::optional<SlotGrant> Grant;
-  std::string Reason;
-  Duration RetryAfter{};
-};
-
 /// \returns the shard of a service, null when it is not configured.
 std::shared_ptr<ServiceShard> serviceShard(Daemon &daemon,
                                            const ServiceId &service);
--- /dev/null
+++ b/src/savorylbd/team_shard.h
@@ -0,0 +1,32 @@
+#ifndef SAVORYLB_SAVORYLBD_TEAM_SHARD_H
+#define SAVORYLB_SAVORYLBD_TEAM_SHARD_H
+
+#include "savorylb/ids.h"
+#include "savorylb/lender_choice.h"
+#include "savorylb/token_bucket.h"
+#include "savorylb/units.h"
+#include "settled_grants.h"
+
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace savorylb {
+
+/// Buckets of some teams.
+struct TeamShard {
+  std::mutex Lock;
+  std::map<TeamId, TokenBucket> Buckets;
+  /// One request at a time borrows; the others wait for what it brings.
+  std::timed_mutex BorrowLock;
+  /// Guarded by BorrowLock.
+  std::map<TeamId, MonoTime> BorrowPausedUntil;
+  /// Guarded by BorrowLock.
+  std::map<std::pair<TeamId, VmId>, SettledGrants> Settled;
+  /// Guarded by BorrowLock.
+  std::map<TeamId, LenderLevels> StatedLevels;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_SAVORYLBD_TEAM_SHARD_H
--- a/src/savorylbd/team_shards.h
+++ b/src/savorylbd/team_shards.h
@@ -1,49 +1,20 @@
 #ifndef SAVORYLB_SAVORYLBD_TEAM_SHARDS_H
 #define SAVORYLB_SAVORYLBD_TEAM_SHARDS_H
 
+#include "borrowed_grant.h"
 #include "savorylb/ids.h"
 #include "savorylb/lender_choice.h"
 #include "savorylb/token_bucket.h"
+#include "settled_grants.h"
+#include "team_shard.h"
 
 #include <array>
 #include <map>
-#include <mutex>
-#include <vector>
 
 namespace savorylb {
 
 struct Daemon;
 
-/// Grants of one lender to be reported as settled with the next borrow.
-struct SettledGrants {
-  Incarnation Lender;
-  std::vector<std::uint64_t> Grants;
-};
-
-/// A peer's answer to a borrow.
-struct BorrowedGrant {
-  MicroTokens Amount;
-  std::uint64_t Number = 0;
-  Incarnation Lender;
-  /// The lender's level after the grant, when it answered.
-  MicroTokens LevelLeft;
-  bool Answered = false;
-};
-
-/// Buckets of some teams.
-struct TeamShard {
-  std::mutex Lock;
-  std::map<TeamId, TokenBucket> Buckets;
-  /// One request at a time borrows; the others wait for what it brings.
-  std::timed_mutex BorrowLock;
-  /// Guarded by BorrowLock.
-  std::map<TeamId, MonoTime> BorrowPausedUntil;
-  /// Guarded by BorrowLock.
-  std::map<std::pair<TeamId, VmId>, SettledGrants> Settled;
-  /// Guarded by BorrowLock.
-  std::map<TeamId, LenderLevels> StatedLevels;
-};
-
 using TeamShards = std::array<TeamShard, 8>;
 
 /// Sets all buckets to this VM's share of the teams' limits.
