Keep the history of applies out of the daemons

Cause: savoryctl wrote a record of each apply below savory/v1/, which daemons watch. Ruled out: that daemons write removed records back; repair needs a listing of the key. The records now live below savory/history/, and daemons take in only the kinds of documents they know. The unit test failed before and passes now.

--- a/src/savoryctl/store_keys.h
+++ b/src/savoryctl/store_keys.h
@@ -7,7 +7,8 @@
 constexpr const char *KeyRingKey = "savory/v1/keys";
 constexpr const char *ZonePrefix = "savory/v1/zones/";
 constexpr const char *RolloutPrefix = "savory/v1/rollouts/";
-constexpr const char *HistoryPrefix = "savory/v1/history/config/";
+/// Outside of the prefix that daemons watch.
+constexpr const char *HistoryPrefix = "savory/history/config/";
 
 } // namespace savorylb
 
--- a/src/savorylbd/document_state.cpp
+++ b/src/savorylbd/document_state.cpp
@@ -74,6 +74,13 @@
   return "";
 }
 
+/// Documents are held for good, so records that others keep below the same
+/// prefix must not be taken in.
+bool isOwnKind(const std::string &key) {
+  return key == ConfigKey || key == KeysKey || startsWith(key, ZonesPrefix) ||
+         startsWith(key, RolloutsPrefix);
+}
+
 std::string applyDocument(Daemon &daemon, const std::string &key,
                           const std::string &content,
                           std::uint64_t storeIndex) {
@@ -199,6 +206,8 @@
 void offerDocument(Daemon &daemon, const std::string &key,
                    const std::string &content, std::uint64_t storeIndex,
                    DocumentSource source) {
+  if (!isOwnKind(key))
+    return;
   auto own = judgeAndApply(daemon, key, content, storeIndex, source);
   if (own)
     repairStore(daemon, key, *own, storeIndex);
--- a/src/savorylbd/document_state_test.cpp
+++ b/src/savorylbd/document_state_test.cpp
@@ -80,3 +80,12 @@
   offer(keysDocument(3, "peer"), 0, DocumentSource::Peer);
   LONGS_EQUAL(3, revision());
 }
+
+// Guards against records of the operators' tool that pile up in all daemons:
+// the tool removes old ones, and daemons never drop a document.
+TEST(DocumentState, TakesOnlyDocumentsOfItsOwn) {
+  offerDocument(Own, "savory/v1/history/config/7", "{\"revision\":7}", 50,
+                DocumentSource::Store);
+  CHECK(heldDocuments(Own).empty());
+  CHECK(heldRevisions(Own).empty());
+}
