Print one row for each team and service

With three client blocks and three addresses in each, the table of the load generator had 180 rows in the demo. Streams of one team and service are now added up; of the latencies the row shows those of the worst stream. The report in JSON keeps all streams.

--- a/src/standins/loadgen/report_table.cpp
+++ b/src/standins/loadgen/report_table.cpp
@@ -1,7 +1,10 @@
 #include "report_table.h"
 
+#include <algorithm>
 #include <iomanip>
+#include <map>
 #include <sstream>
+#include <utility>
 
 namespace savorylb::standin {
 
@@ -10,6 +13,9 @@
 const char *const Counts[] = {"sent",    "done",   "not_run",   "unknown",
                               "lost",    "wrong",  "truncated", "failed",
                               "skipped", "repeats"};
+const char *const Latencies[] = {"median", "p99", "max"};
+const char *const Reasons[] = {"not_run_by_reason", "unknown_by_reason",
+                               "lost_by_reason", "wrong_by_reason"};
 constexpr int NameWidth = 16;
 constexpr int CountWidth = 10;
 
@@ -19,6 +25,33 @@
         << "\n";
 }
 
+/// Adds a stream's counts and reasons to the row of its team and service. Of
+/// the latencies the row keeps those of the worst stream.
+void addStream(Json::Value &row, const Json::Value &stream) {
+  row["service"] = stream["service"];
+  for (auto *name : Counts)
+    row[name] = row[name].asUInt64() + stream[name].asUInt64();
+  for (auto *kind : Reasons)
+    for (auto &name : stream[kind].getMemberNames())
+      row[kind][name] =
+          row[kind][name].asUInt64() + stream[kind][name].asUInt64();
+  for (auto *name : Latencies)
+    row["latency_us"][name] = std::max(row["latency_us"][name].asUInt64(),
+                                       stream["latency_us"][name].asUInt64());
+}
+
+void writeRow(std::ostream &out, const Json::Value &row,
+              const std::string &team) {
+  out << std::left << std::setw(NameWidth) << team << std::setw(NameWidth)
+      << row["service"].asString() << std::right;
+  for (auto *name : Counts)
+    out << std::setw(CountWidth) << row[name].asString();
+  if (row.isMember("latency_us"))
+    for (auto *name : Latencies)
+      out << std::setw(CountWidth) << row["latency_us"][name].asString();
+  out << "\n";
+}
+
 } // namespace
 
 std::string reportTable(const Json::Value &report) {
@@ -27,26 +60,18 @@
       << "service" << std::right;
   for (auto *name : Counts)
     out << std::setw(CountWidth) << name;
-  for (auto *name : {"median_us", "p99_us", "max_us"})
-    out << std::setw(CountWidth) << name;
+  for (auto *name : Latencies)
+    out << std::setw(CountWidth) << std::string(name) + "_us";
   out << "\n";
-  auto writeRow = [&out](const Json::Value &row, const std::string &team) {
-    out << std::left << std::setw(NameWidth) << team << std::setw(NameWidth)
-        << row["service"].asString() << std::right;
-    for (auto *name : Counts)
-      out << std::setw(CountWidth) << row[name].asString();
-    if (row.isMember("latency_us"))
-      for (auto *name : {"median", "p99", "max"})
-        out << std::setw(CountWidth) << row["latency_us"][name].asString();
-    out << "\n";
-  };
-  for (auto &row : report["streams"]) {
-    writeRow(row, row["team"].asString());
-    for (auto *kind : {"not_run_by_reason", "unknown_by_reason",
-                       "lost_by_reason", "wrong_by_reason"})
+  std::map<std::pair<std::string, std::string>, Json::Value> rows;
+  for (auto &it : report["streams"])
+    addStream(rows[{it["team"].asString(), it["service"].asString()}], it);
+  for (auto &[key, row] : rows) {
+    writeRow(out, row, key.first);
+    for (auto *kind : Reasons)
       writeReasons(out, row, kind);
   }
-  writeRow(report["totals"], "total");
+  writeRow(out, report["totals"], "total");
   return out.str();
 }
 
