Show daemons as a table in savoryctl status

The command printed the whole JSON of each daemon on one line of some 4 KB, so that nobody could see at a glance which daemon does not serve and why. Ruled out: a reason in /v1/status itself, since the tool can tell it from the fields that are there.

--- a/src/savoryctl/daemon_status.cpp
+++ b/src/savoryctl/daemon_status.cpp
@@ -1,6 +1,7 @@
 #include "daemon_status.h"
 
 #include "json_text.h"
+#include "status_text.h"
 
 namespace savorylb {
 
@@ -48,11 +49,12 @@
 CommandResult showStatus(const ToolContext &context,
                          const std::vector<std::string> &daemons) {
   CommandResult out;
+  out.Text = statusHeader();
   for (const std::string &it : daemons) {
     Result<Json::Value> status = readStatus(context, it);
     if (status) {
       out.Data["daemons"][it] = status.value();
-      out.Text += it + ": " + writeCompact(status.value()) + "\n";
+      out.Text += statusLine(status.value());
       continue;
     }
     out.Code = ExitCode::StoreUnavailable;
--- /dev/null
+++ b/src/savoryctl/status_text.cpp
@@ -0,0 +1,74 @@
+#include "status_text.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace savorylb {
+
+namespace {
+
+constexpr int NameWidth = 16;
+constexpr int FigureWidth = 9;
+constexpr double PpmPerPercent = 10'000;
+constexpr double MillisPerSecond = 1000;
+
+/// What keeps a daemon from serving; the first reason says most.
+const char *stateOf(const Json::Value &status) {
+  const Json::Value &membership = status["membership"];
+  if (status["departing"].asBool())
+    return "departing";
+  if (!membership["member"].asBool())
+    return "no member";
+  if (!membership["lease_held"].asBool())
+    return "no lease";
+  if (!status["keys_in_force"].asBool())
+    return "keys stale";
+  return "serving";
+}
+
+std::string storeText(const Json::Value &status) {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1)
+      << status["store_contact_age_ms"].asDouble() / MillisPerSecond << " s";
+  return status["store_reachable"].asBool() ? out.str() : "lost " + out.str();
+}
+
+std::string revisionText(const Json::Value &status, const char *key) {
+  return status["revisions"].get(key, 0).asString();
+}
+
+} // namespace
+
+std::string statusHeader() {
+  std::ostringstream out;
+  out << std::left;
+  for (const char *it : {"VM", "zone", "state"})
+    out << std::setw(NameWidth) << it;
+  out << std::right;
+  for (const char *it : {"share %", "targets", "in hand", "config", "keys"})
+    out << std::setw(FigureWidth) << it;
+  out << "  store\n";
+  return out.str();
+}
+
+std::string statusLine(const Json::Value &status) {
+  const Json::Value &membership = status["membership"];
+  std::ostringstream out;
+  out << std::left << std::setw(NameWidth) << status["vm"].asString()
+      << std::setw(NameWidth) << status["zone"].asString()
+      << std::setw(NameWidth) << stateOf(status) << std::right << std::fixed
+      << std::setprecision(2) << std::setw(FigureWidth)
+      << membership["rate_ppm"].asDouble() / PpmPerPercent
+      << std::setw(FigureWidth) << membership["targets"].size()
+      << std::setw(FigureWidth) << status["requests_in_flight"].asInt64()
+      << std::setw(FigureWidth) << revisionText(status, "savory/v1/config")
+      << std::setw(FigureWidth) << revisionText(status, "savory/v1/keys")
+      << "  " << storeText(status) << "\n";
+  for (const Json::Value &it : status["rollouts"])
+    if (it["stopped"].asBool())
+      out << "  rollout " << it["name"].asString()
+          << " stopped: " << it["reason"].asString() << "\n";
+  return out.str();
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryctl/status_text.h
@@ -0,0 +1,20 @@
+#ifndef SAVORYCTL_STATUS_TEXT_H
+#define SAVORYCTL_STATUS_TEXT_H
+
+#include <json/json.h>
+
+#include <string>
+
+namespace savorylb {
+
+/// \returns the head of the table that statusLine() fills.
+std::string statusHeader();
+
+/// \param status body of `GET /v1/status`.
+/// \returns one line of the table, and one for each rollout that a daemon
+/// stopped on its own or a peer's evidence.
+std::string statusLine(const Json::Value &status);
+
+} // namespace savorylb
+
+#endif // SAVORYCTL_STATUS_TEXT_H
