Serve a service without a rollout by the version in force

A service without a configured rollout sent requests to targets of all versions: a new version got its part before its rollout began, and a version that was taken back got it again as soon as the rollout's entry left the configuration. The state document named neither version, so a restarted daemon could not know better.

The state document now holds from, to and the versions taken back so far. The version in force is the new one of a rollout that is done, else the old one; without its targets the lowest version that was never taken back, and a version taken back only when no other has targets. Rollout states are adopted before the configuration that comes with them. savoryctl refuses a rollout that starts from another version, since it would move all traffic at once.

Choosing the version in savoryctl and writing it into the configuration was ruled out: a configuration applied from a file would bring the old choice back.

--- a/src/include/savorylb/rollout.h
+++ b/src/include/savorylb/rollout.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
 struct RolloutRecord {
   RolloutId Name;
   ServiceId Service;
+  VersionId From;
+  VersionId To;
   Revision Rev;
   RolloutPhase Phase = RolloutPhase::Waiting;
   Ppm Share;
@@ -30,6 +33,9 @@
   /// When the share was last raised.
   WallTime RaisedAt{};
   std::string Reason;
+  /// Versions of the service that were taken back, by this rollout and by
+  /// earlier ones.
+  std::set<VersionId> TakenBack;
 };
 
 std::string formatRolloutRecord(const RolloutRecord &record);
--- a/src/libsavorylb/rollout_plan.cpp
+++ b/src/libsavorylb/rollout_plan.cpp
@@ -105,10 +105,13 @@
   RolloutRecord next = own;
   next.Name = rollout.Spec.Name;
   next.Service = rollout.Spec.Service;
+  next.From = rollout.Spec.From;
+  next.To = rollout.Spec.To;
   next.Rev = own.Rev + Revision(1);
   if (rollout.Stopped) {
     next.Phase = RolloutPhase::TakenBack;
     next.Share = Ppm(0);
+    next.TakenBack.insert(next.To);
     next.Reason = rollout.StopReason;
     return next;
   }
@@ -126,6 +129,7 @@
   if (plan.Next == plan.Steps.size()) {
     if (ready && next.Proven && now >= soakedAt(rollout.Spec)) {
       next.Phase = RolloutPhase::Done;
+      next.TakenBack.erase(next.To);
       next.Reason = "all steps passed";
       return next;
     }
--- a/src/libsavorylb/rollout_record.cpp
+++ b/src/libsavorylb/rollout_record.cpp
@@ -44,12 +44,17 @@
   Json::Value root;
   root["id"] = record.Name.Value;
   root["service"] = record.Service.Value;
+  root["from"] = record.From.Value;
+  root["to"] = record.To.Value;
   root["revision"] = Json::Int64(record.Rev.Value);
   root["state"] = nameOf(record.Phase);
   root["sharePpm"] = Json::Int64(record.Share.Value);
   root["proven"] = record.Proven;
   root["raisedAtMs"] = Json::Int64(record.RaisedAt.time_since_epoch().count());
   root["reason"] = record.Reason;
+  root["takenBack"] = Json::Value(Json::arrayValue);
+  for (const VersionId &it : record.TakenBack)
+    root["takenBack"].append(it.Value);
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
   return Json::writeString(builder, root);
@@ -68,9 +73,17 @@
       return malformed(std::string(name) + " must be an integer");
   if (!root["proven"].isBool())
     return malformed("proven must be true or false");
-  if (root.isMember("reason") && !root["reason"].isString())
-    return malformed("reason must be a string");
+  for (const char *name : {"reason", "from", "to"})
+    if (root.isMember(name) && !root[name].isString())
+      return malformed(std::string(name) + " must be a string");
   RolloutRecord record;
+  if (root.isMember("takenBack") && !root["takenBack"].isArray())
+    return malformed("takenBack must be a list");
+  for (const Json::Value &it : root["takenBack"]) {
+    if (!it.isString())
+      return malformed("takenBack must hold versions");
+    record.TakenBack.insert(VersionId(it.asString()));
+  }
   if (!parsePhase(root["state"].asString(), record.Phase))
     return malformed("unknown state " + root["state"].asString());
   record.Share = Ppm(root["sharePpm"].asInt64());
@@ -81,6 +94,8 @@
     return malformed("revision must be positive");
   record.Name = RolloutId(root["id"].asString());
   record.Service = ServiceId(root["service"].asString());
+  record.From = VersionId(root["from"].asString());
+  record.To = VersionId(root["to"].asString());
   record.Proven = root["proven"].asBool();
   record.RaisedAt = WallTime(Millis(root["raisedAtMs"].asInt64()));
   record.Reason = root["reason"].asString();
--- a/src/libsavorylb/rollout_test.cpp
+++ b/src/libsavorylb/rollout_test.cpp
@@ -35,6 +35,9 @@
   own.Proven = true;
   own.RaisedAt = WallTime(Millis(1'700'000'000'123));
   own.Reason = "a \"quoted\" reason";
+  own.From = VersionId("v1");
+  own.To = VersionId("v2");
+  own.TakenBack = {VersionId("v0"), VersionId("v2")};
   auto parsed = parseRolloutRecord(formatRolloutRecord(own));
   CHECK(parsed.has_value());
   STRCMP_EQUAL(formatRolloutRecord(own).c_str(),
@@ -94,6 +97,8 @@
   CHECK(next.has_value() && next->Phase == RolloutPhase::TakenBack);
   LONGS_EQUAL(2, next->Rev.Value);
   CHECK(next->Reason.find('p') != std::string::npos);
+  CHECK(next->From == VersionId("v1") && next->To == VersionId("v2"));
+  CHECK(next->TakenBack.count(VersionId("v2")) == 1);
   // A store that has meanwhile recorded a raise does not start it again.
   adoptRecord(rollout, record(RolloutPhase::Running, 2, 60'000));
   LONGS_EQUAL(0, newOf(rollout, 1000));
--- a/src/savoryctl/operations_test.cpp
+++ b/src/savoryctl/operations_test.cpp
@@ -178,3 +178,23 @@
   LONGS_EQUAL(150'000, zone["unassigned_rate_ppm"].asInt());
   check(ExitCode::NotFound, reclaim(true));
 }
+
+// Guards against a rollout that moves all traffic at once because it starts
+// from a version that is not in use, and against a forgotten take-back.
+TEST(Operations, RolloutsStartFromTheVersionInForce) {
+  std::string back = RolloutFile;
+  back.replace(back.find("v1"), 2, "v3");
+  back.replace(back.find("v2"), 2, "v1");
+  back.replace(back.find("v3"), 2, "v2");
+  check(ExitCode::Conflict, start(back));
+  check(ExitCode::Ok, start(RolloutFile));
+  check(ExitCode::Ok, takeBackRollout(Context, "r1", {}));
+  RolloutRecord record =
+      parseRolloutRecord(
+          Mock.Values[std::string(RolloutPrefix) + "tiles"].Content)
+          .value();
+  STRCMP_EQUAL("v1", record.From.Value.c_str());
+  CHECK(record.TakenBack == std::set<VersionId>{VersionId("v2")});
+  back.replace(back.find("r1"), 2, "r2");
+  check(ExitCode::Conflict, start(back));
+}
--- a/src/savoryctl/rollout_commands.cpp
+++ b/src/savoryctl/rollout_commands.cpp
@@ -7,6 +7,7 @@
 
 #include "savorylb/config.h"
 #include "savorylb/rollout.h"
+#include "savorylb/version_in_force.h"
 
 #include <utility>
 
@@ -113,6 +114,26 @@
   return out;
 }
 
+// A rollout from another version than the one in force would move all traffic
+// to that version at once.
+// \returns why the rollout may not start, or an empty text.
+std::string findWrongStart(const ToolContext &context,
+                           const Json::Value &rollout,
+                           const std::optional<RolloutRecord> &record) {
+  Result<Config> config = readConfig(context);
+  if (!config)
+    return "";
+  ServiceId name(rollout["service"].asString());
+  const ServiceSpec *service = findService(config.value(), name);
+  if (service == nullptr || !rollout["from"].isString())
+    return "";
+  VersionId inForce = versionInForce(*service, record ? &*record : nullptr);
+  if (inForce.empty() || inForce.Value == rollout["from"].asString())
+    return "";
+  return "service " + name.Value + " runs " + inForce.Value +
+         "; a rollout must start from it";
+}
+
 CommandResult errorResult(const Error &error) {
   if (error.Code == ErrorCode::NotFound)
     return makeResult(ExitCode::NotFound, error.Message);
@@ -131,9 +152,11 @@
     record = parsed.value();
   }
   const std::string message = "rollout " + spec.Name.Value + " is taken back";
-  if (record.Name != spec.Name)
+  if (record.Name != spec.Name) {
+    std::set<VersionId> takenBack = std::move(record.TakenBack);
     record = RolloutRecord{};
-  else if (record.Phase == RolloutPhase::TakenBack)
+    record.TakenBack = std::move(takenBack);
+  } else if (record.Phase == RolloutPhase::TakenBack)
     return {ExitCode::Ok, message, {}};
   else if (record.Phase == RolloutPhase::Done)
     return {ExitCode::Conflict,
@@ -142,6 +165,9 @@
             {}};
   record.Name = spec.Name;
   record.Service = spec.Service;
+  record.From = spec.From;
+  record.To = spec.To;
+  record.TakenBack.insert(spec.To);
   record.Rev = next;
   record.Phase = RolloutPhase::TakenBack;
   record.Share = Ppm(0);
@@ -166,6 +192,9 @@
       readRecord(context, rollout["service"].asString());
   if (!record)
     return errorResult(record.error());
+  std::string wrong = findWrongStart(context, rollout, record.value());
+  if (!wrong.empty())
+    return makeResult(ExitCode::Conflict, wrong);
   return editConfig(context, daemons, [&](Json::Value &document) {
     return addRollout(document, rollout, record.value());
   });
--- a/src/savorylbd/document_state.cpp
+++ b/src/savorylbd/document_state.cpp
@@ -244,6 +244,12 @@
              {});
 }
 
+DocumentOrder documentOrder(const std::string &key) {
+  if (startsWith(key, RolloutsPrefix))
+    return DocumentOrder::Rollouts;
+  return key == ConfigKey ? DocumentOrder::Config : DocumentOrder::Others;
+}
+
 std::string zoneKey(const ZoneId &zone) { return ZonesPrefix + zone.Value; }
 
 } // namespace savorylb
--- a/src/savorylbd/document_state.h
+++ b/src/savorylbd/document_state.h
@@ -21,6 +21,11 @@
 inline constexpr char ZonesPrefix[] = "savory/v1/zones/";
 inline constexpr char RolloutsPrefix[] = "savory/v1/rollouts/";
 
+/// Order in which documents that arrive together are adopted.
+enum class DocumentOrder { Rollouts, Config, Others };
+inline constexpr DocumentOrder AllDocumentOrders[] = {
+    DocumentOrder::Rollouts, DocumentOrder::Config, DocumentOrder::Others};
+
 /// The documents of the store as this daemon holds them.
 struct DocumentState {
   /// Held while a document is judged and applied, so that documents take
@@ -72,6 +77,9 @@
 /// \param askedAt when it was asked.
 void noteStoreContact(Daemon &daemon, bool reached, MonoTime askedAt);
 
+/// \returns when to adopt the document with this key.
+DocumentOrder documentOrder(const std::string &key);
+
 /// \returns the document key of a zone's owner map.
 std::string zoneKey(const ZoneId &zone);
 
--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -247,13 +247,14 @@
     std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
     newer.swap(daemon.Peers.NewerAt);
   }
-  for (const auto &[key, vm] : newer) {
-    std::string endpoint = peerEndpoint(daemon, vm);
-    peer::GetDocumentReply reply;
-    if (!endpoint.empty() &&
-        callGetDocument(daemon, {vm, endpoint}, key, reply))
-      offerDocument(daemon, key, reply.content(), 0, DocumentSource::Peer);
-  }
+  for (DocumentOrder order : AllDocumentOrders)
+    for (const auto &[key, vm] : newer) {
+      std::string endpoint = peerEndpoint(daemon, vm);
+      peer::GetDocumentReply reply;
+      if (documentOrder(key) == order && !endpoint.empty() &&
+          callGetDocument(daemon, {vm, endpoint}, key, reply))
+        offerDocument(daemon, key, reply.content(), 0, DocumentSource::Peer);
+    }
 }
 
 void noteProof(Daemon &daemon, const VmId &vm, const Incarnation &life) {
--- a/src/savorylbd/rollout_shards.cpp
+++ b/src/savorylbd/rollout_shards.cpp
@@ -5,6 +5,7 @@
 #include "savorylb/clock.h"
 #include "savorylb/event_log.h"
 #include "savorylb/metrics.h"
+#include "savorylb/version_in_force.h"
 
 #include <algorithm>
 
@@ -40,12 +41,26 @@
 
 /// Adopts a record. All rollouts of a service share one document, so a rollout
 /// counts revisions on from those of the one before; lower ones would be taken
-/// for an old document.
+/// for an old document. It also carries on which versions were taken back.
 void takeRecord(Rollout &rollout, const RolloutRecord &record) {
   if (record.Name == rollout.Spec.Name)
     adoptRecord(rollout, record);
-  else if (rollout.Record.Phase == RolloutPhase::Waiting)
-    rollout.Record.Rev = std::max(rollout.Record.Rev, record.Rev);
+  else if (rollout.Record.Phase == RolloutPhase::Waiting &&
+           record.Rev > rollout.Record.Rev) {
+    rollout.Record.Rev = record.Rev;
+    rollout.Record.TakenBack = record.TakenBack;
+  }
+}
+
+/// The caller holds the lock of the rollouts.
+void chooseInForce(RolloutShards &rollouts, const Config &config) {
+  rollouts.InForce.clear();
+  for (const ServiceSpec &service : config.Services) {
+    auto it = rollouts.Records.find(service.Name);
+    const RolloutRecord *record =
+        it == rollouts.Records.end() ? nullptr : &it->second;
+    rollouts.InForce[service.Name] = versionInForce(service, record);
+  }
 }
 
 /// Writes a record; another VM may have been first, which is as good.
@@ -96,9 +111,16 @@
   }
   std::lock_guard<std::mutex> guard(daemon.Rollouts.Lock);
   daemon.Rollouts.Services = std::move(next);
+  chooseInForce(daemon.Rollouts, config);
 }
 
 void applyRolloutRecord(Daemon &daemon, const RolloutRecord &record) {
+  SnapshotPtr snapshot = currentSnapshot(daemon);
+  {
+    std::lock_guard<std::mutex> guard(daemon.Rollouts.Lock);
+    daemon.Rollouts.Records[record.Service] = record;
+    chooseInForce(daemon.Rollouts, snapshot->Conf);
+  }
   std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, record.Service);
   if (!shard)
     return;
@@ -108,9 +130,14 @@
 
 VersionId versionFor(Daemon &daemon, const ServiceId &service,
                      const RouteId &route) {
-  std::shared_ptr<RolloutShard> shard = rolloutOf(daemon, service);
-  if (!shard)
-    return VersionId();
+  std::shared_ptr<RolloutShard> shard;
+  {
+    std::lock_guard<std::mutex> guard(daemon.Rollouts.Lock);
+    auto it = daemon.Rollouts.Services.find(service);
+    if (it == daemon.Rollouts.Services.end())
+      return daemon.Rollouts.InForce[service];
+    shard = it->second;
+  }
   std::lock_guard<std::mutex> guard(shard->Lock);
   return chooseVersion(shard->State, route);
 }
--- a/src/savorylbd/rollout_shards.h
+++ b/src/savorylbd/rollout_shards.h
@@ -23,6 +23,11 @@
 struct RolloutShards {
   std::mutex Lock;
   std::map<ServiceId, std::shared_ptr<RolloutShard>> Services;
+  /// State of the last rollout of each service, kept when its entry leaves the
+  /// configuration.
+  std::map<ServiceId, RolloutRecord> Records;
+  /// Version of each service without a rollout.
+  std::map<ServiceId, VersionId> InForce;
 };
 
 /// \returns the rollout of a service, or null.
@@ -35,7 +40,8 @@
 /// Adopts a newer record from the store.
 void applyRolloutRecord(Daemon &daemon, const RolloutRecord &record);
 
-/// Chooses the version of a request; empty when the service has no rollout.
+/// Chooses the version of a request: by the share of the rollout, or the one in
+/// force when there is none. Empty when the targets have no versions.
 VersionId versionFor(Daemon &daemon, const ServiceId &service,
                      const RouteId &route);
 
--- a/src/savorylbd/store_watch.cpp
+++ b/src/savorylbd/store_watch.cpp
@@ -43,15 +43,13 @@
 }
 
 void offerListing(Daemon &daemon, const StoreListing &listing) {
-  // The configuration comes first: the other documents refer to it.
-  auto config = listing.Values.find(ConfigKey);
-  if (config != listing.Values.end())
-    offerDocument(daemon, ConfigKey, config->second.Content,
-                  config->second.ModifyIndex, DocumentSource::Store);
-  for (const auto &[key, value] : listing.Values)
-    if (key != ConfigKey)
-      offerDocument(daemon, key, value.Content, value.ModifyIndex,
-                    DocumentSource::Store);
+  // A new daemon must not serve by the configuration before it knows which
+  // versions were taken back; all other documents refer to the configuration.
+  for (DocumentOrder order : AllDocumentOrders)
+    for (const auto &[key, value] : listing.Values)
+      if (documentOrder(key) == order)
+        offerDocument(daemon, key, value.Content, value.ModifyIndex,
+                      DocumentSource::Store);
 }
 
 /// Members of the own zone that the platform's list dropped a while ago.
--- a/testsuite/rollout_bad.test.sh
+++ b/testsuite/rollout_bad.test.sh
@@ -7,7 +7,6 @@
 tiles_plan 300
 
 # Failing, while the store is in outage.
-# Without a rollout, traffic goes to targets of all versions.
 start_rollout 40 tiles-failing
 start_load 46 "$WORK/plan.json" "$WORK/report"
 await 5 "the rollout to run" rollout_is running
--- a/testsuite/rollout_good.test.sh
+++ b/testsuite/rollout_good.test.sh
@@ -5,7 +5,6 @@
 use_deployment marine
 start_fleet 10 "$DEPLOY/config-rollout.json" "$DEPLOY/targets-rollout.json"
 tiles_plan 300
-# Without a rollout, traffic goes to targets of all versions.
 start_rollout 40
 start_load 44 "$WORK/plan.json" "$WORK/report"
 await 42 "the end of the rollout" rollout_is done
--- a/testsuite/rollout_late_bad.test.sh
+++ b/testsuite/rollout_late_bad.test.sh
@@ -5,7 +5,6 @@
 use_deployment marine
 start_fleet 10 "$DEPLOY/config-rollout.json" "$DEPLOY/targets-rollout.json"
 tiles_plan 300
-# Without a rollout, traffic goes to targets of all versions.
 start_rollout 40
 start_load 40 "$WORK/plan.json" "$WORK/report"
 share_reached() { ctl --json rollout status | jq -e '[.. | .share_percent? // empty] | max >= 20'; }
