Send requests to the old version when the new one cannot take them

A request meant for the new version waited up to 2 s in its queue before it went to the old one, although that had free slots. When a target of the new version shed its load, the next attempts went to the same target, and after three of them, or with the retry budget spent, the request was refused.

A request now waits for the new version only when the old one refuses it, and an attempt that the new version did not take is followed by one on the old version; one that was not run costs no retry budget, since at most one follows.

--- a/src/savorylbd/request_flow.cpp
+++ b/src/savorylbd/request_flow.cpp
@@ -98,7 +98,9 @@
   return response;
 }
 
-bool mayRetry(RequestContext &context, const TargetResponse &response) {
+/// \param fallback old version that gets the next attempt, or nothing.
+bool mayRetry(RequestContext &context, const TargetResponse &response,
+              const VersionId &fallback) {
   bool certain = response.Outcome == TargetOutcome::NotRun;
   if (!certain && (isOnce(context) || response.Streamed))
     return false;
@@ -107,6 +109,10 @@
   if (response.Reason == "cancelled" || response.Reason == "caller-gone" ||
       timeLeft(context) == Duration(0))
     return false;
+  // A target of the new version that takes nothing must not use up the budget:
+  // its whole share of the traffic goes to the old version.
+  if (certain && !fallback.empty())
+    return true;
   std::shared_ptr<ServiceShard> shard =
       serviceShard(context.Owner, context.Service->Name);
   if (!shard)
@@ -143,22 +149,30 @@
                                            {"status", response.Status}});
 }
 
-/// Finds a slot of a version, or of the old one when the new one has none.
+/// Finds a slot of a version, or of the old one when the new one has none free.
 Placement placeVersion(RequestContext &context, const VersionId &version,
                        const TargetId &avoid) {
-  Placement placed = placeAttempt(context, version, avoid);
-  if (placed.Slot)
-    return placed;
   VersionId old =
       fallbackVersion(context.Owner, context.Service->Name, version);
-  return old.empty() ? placed : placeAttempt(context, old, avoid);
+  if (old.empty())
+    return placeAttempt(context, version, avoid);
+  // A request does not wait for the new version while the old one has room.
+  Placement placed =
+      placeAttempt(context, version, avoid, SlotPatience::FreeNow);
+  if (!placed.Slot)
+    placed = placeAttempt(context, old, avoid);
+  return placed.Slot ? placed : placeAttempt(context, version, avoid);
 }
 
 /// Finds a slot of a version that is still allowed.
-Placement placeAllowed(RequestContext &context, const TargetId &avoid) {
+/// \param wanted version of this attempt; empty to choose one.
+Placement placeAllowed(RequestContext &context, const VersionId &wanted,
+                       const TargetId &avoid) {
   StageTimer timer("place");
   VersionId version =
-      versionFor(context.Owner, context.Service->Name, context.Route);
+      wanted.empty()
+          ? versionFor(context.Owner, context.Service->Name, context.Route)
+          : wanted;
   Placement placed = placeVersion(context, version, avoid);
   if (!placed.Slot)
     return placed;
@@ -175,8 +189,9 @@
 RequestResult runAttempts(RequestContext &context, const ResponseSink &sink) {
   RequestResult result;
   TargetId avoid;
+  VersionId wanted;
   for (int attempt = 1;; ++attempt) {
-    Placement placed = placeAllowed(context, avoid);
+    Placement placed = placeAllowed(context, wanted, avoid);
     if (!placed.Slot) {
       // An attempt before may have run; its outcome stands.
       if (!result.Refused)
@@ -213,7 +228,11 @@
       result.Response = std::move(response);
       return result;
     }
-    if (attempt >= MaxAttempts || !mayRetry(context, response))
+    // What the new version did not take or failed goes to the old one: the new
+    // one may have no other target.
+    wanted = fallbackVersion(context.Owner, context.Service->Name,
+                             slot.Grant.Version);
+    if (attempt >= MaxAttempts || !mayRetry(context, response, wanted))
       return result;
     logRetry(context, slot, response);
     avoid = slot.Grant.Target;
--- a/src/savorylbd/request_place.cpp
+++ b/src/savorylbd/request_place.cpp
@@ -118,7 +118,7 @@
 } // namespace
 
 Placement placeAttempt(RequestContext &context, const VersionId &version,
-                       const TargetId &avoid) {
+                       const TargetId &avoid, SlotPatience patience) {
   VmViews vms = knownVms(context.Owner);
   std::vector<PlacementChoice> owners = choices(context, *vms, version);
   SlotQuery query = makeQuery(context, version, avoid);
@@ -138,7 +138,8 @@
   query.MaxWait = std::min(LongestWait, query.Remaining * 3 / 4);
   for (const PlacementChoice &it : owners) {
     const VmView *view = findView(*vms, it.Owner);
-    if (!view || query.MaxWait <= Duration(0))
+    if (!view || query.MaxWait <= Duration(0) ||
+        patience == SlotPatience::FreeNow)
       continue;
     result.Reason.clear();
     if (tryOwner(context, it, *view, query, result)) {
--- a/src/savorylbd/request_place.h
+++ b/src/savorylbd/request_place.h
@@ -24,12 +24,17 @@
   Duration RetryAfter{};
 };
 
+/// Whether a request may wait in the queue of an owner.
+enum class SlotPatience { FreeNow, Queue };
+
 /// Looks for a slot: at once where one is free, else in the queue of an owner.
 /// \param context the request.
 /// \param version wanted version, empty for any.
 /// \param avoid target of the attempt before.
+/// \param patience whether to wait when no slot is free.
 Placement placeAttempt(RequestContext &context, const VersionId &version,
-                       const TargetId &avoid);
+                       const TargetId &avoid,
+                       SlotPatience patience = SlotPatience::Queue);
 
 /// Returns the slot and settles the link budget.
 void releasePlaced(RequestContext &context, const PlacedSlot &slot,
