--- a/src/include/savorylb/rollout_record.h
+++ b/src/include/savorylb/rollout_record.h
@@ -5,6 +5,7 @@
 #include "savorylb/rollout_phase.h"
 #include "savorylb/units.h"
 
+#include <set>
 #include <string>
 
 namespace savorylb {
@@ -13,6 +14,8 @@
 struct RolloutRecord {
   RolloutId Name;
   ServiceId Service;
+  VersionId From;
+  VersionId To;
   Revision Rev;
   RolloutPhase Phase = RolloutPhase::Waiting;
   Ppm Share;
@@ -21,6 +24,9 @@
   /// When the share was last raised.
   WallTime RaisedAt{};
   std::string Reason;
+  /// Versions of the service that were taken back, by this rollout and by
+  /// earlier ones.
+  std::set<VersionId> TakenBack;
 };
 
 } // namespace savorylb
