Keep client blocks in documents of their own

One configuration value holds at most some 24,600 blocks, since the store takes values up to 1 MB. `savoryctl blocks apply` splits a list of blocks by a hash of their address into parts below 900 KB, writes the parts that changed and then an index that puts them in force together. Daemons learn parts and index like the other documents and keep the last whole set.

The parts lie under savory/blocks/v1/ and not under savory/v1/blocks/: a watch of the store answers with all values of its prefix, so parts below savory/v1/ would put 12 MB into each answer, every 2 s for each watching VM. Watching the other documents by separate prefixes was ruled out: five waiting watches for each of ten daemons exceed 50 store calls a second.

Before: 530,000 blocks need 22.6 MB in the configuration and are refused.

The test of lookups by the blocks fails without the change for want of the command.

--- a/src/include/savorylb/block_table.h
+++ b/src/include/savorylb/block_table.h
@@ -1,29 +1,18 @@
 #ifndef SAVORYLB_BLOCK_TABLE_H
 #define SAVORYLB_BLOCK_TABLE_H
 
+#include "savorylb/block_parts.h"
 #include "savorylb/config.h"
 #include "savorylb/ids.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace savorylb {
 
-/// One block of client addresses; eight bytes, so that 530,000 fit in 4 MB.
-struct BlockEntry {
-  std::uint32_t First = 0;
-  std::uint16_t Site = 0;
-  std::uint8_t PrefixLength = 0;
-  /// Prefix length of the smallest enclosing block of the table; this uses the
-  /// byte that alignment would leave unused.
-  std::uint8_t ParentLength = NoParent;
-
-  static constexpr std::uint8_t NoParent = 255;
-};
-static_assert(sizeof(BlockEntry) == 8, "530,000 blocks must fit in 4 MB");
-
 /// Client blocks sorted by first address; the longest prefix wins.
 struct BlockTable {
   std::vector<BlockEntry> Blocks;
@@ -32,9 +21,14 @@
 
 /// \param blocks configured blocks.
 /// \param sites configured sites.
-/// \returns a table ready for findSite(); bad blocks are left out.
-BlockTable makeBlockTable(const std::vector<BlockSpec> &blocks,
-                          const std::vector<SiteSpec> &sites);
+/// \param parts blocks of documents of their own; a configured one of the same
+/// addresses comes first.
+/// \returns a table ready for findSite(); bad blocks, and blocks of sites that
+/// are not configured, are left out.
+BlockTable
+makeBlockTable(const std::vector<BlockSpec> &blocks,
+               const std::vector<SiteSpec> &sites,
+               const std::vector<std::shared_ptr<const BlockPart>> &parts = {});
 
 /// \param table the table.
 /// \param address IPv4 address in host byte order.
--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -42,6 +42,7 @@
   StoreReachable = 4006,
   KeysStale = 4007,
   KeysFresh = 4008,
+  BlocksInForce = 4009,
   // Rollouts.
   RolloutStepped = 5001,
   RolloutStopped = 5002,
--- a/src/libsavoryedge/event_code.cpp
+++ b/src/libsavoryedge/event_code.cpp
@@ -50,6 +50,8 @@
     return "takeover_done";
   case EventCode::TakeoverRefused:
     return "takeover_refused";
+  case EventCode::BlocksInForce:
+    return "blocks_in_force";
   case EventCode::DocumentAdopted:
     return "document_adopted";
   case EventCode::DocumentRejected:
--- a/src/libsavorylb/block_table.cpp
+++ b/src/libsavorylb/block_table.cpp
@@ -16,10 +16,6 @@
   return (address & maskOf(entry.PrefixLength)) == entry.First;
 }
 
-bool isBefore(const BlockEntry &a, const BlockEntry &b) {
-  return std::tie(a.First, a.PrefixLength) < std::tie(b.First, b.PrefixLength);
-}
-
 // Reads a decimal number without sign or leading zeros.
 bool parseNumber(const std::string &text, unsigned limit, unsigned &value) {
   if (text.empty() || text.size() > 3 || (text.size() > 1 && text[0] == '0'))
@@ -33,7 +29,20 @@
   return value <= limit;
 }
 
-bool parseCidr(const std::string &text, BlockEntry &entry) {
+void linkParents(std::vector<BlockEntry> &blocks) {
+  std::vector<BlockEntry> open;
+  for (BlockEntry &entry : blocks) {
+    while (!open.empty() && !contains(open.back(), entry.First))
+      open.pop_back();
+    entry.ParentLength =
+        open.empty() ? BlockEntry::NoParent : open.back().PrefixLength;
+    open.push_back(entry);
+  }
+}
+
+} // namespace
+
+bool parseBlock(const std::string &text, BlockEntry &entry) {
   auto slash = text.find('/');
   if (slash == std::string::npos)
     return false;
@@ -47,42 +56,52 @@
   return contains(entry, *first);
 }
 
-void linkParents(std::vector<BlockEntry> &blocks) {
-  std::vector<BlockEntry> open;
-  for (BlockEntry &entry : blocks) {
-    while (!open.empty() && !contains(open.back(), entry.First))
-      open.pop_back();
-    entry.ParentLength =
-        open.empty() ? BlockEntry::NoParent : open.back().PrefixLength;
-    open.push_back(entry);
-  }
+std::string formatBlock(const BlockEntry &entry) {
+  std::string out;
+  for (int shift = 24; shift >= 0; shift -= 8)
+    out += std::to_string(entry.First >> shift & 255) + (shift ? "." : "/");
+  return out + std::to_string(entry.PrefixLength);
 }
 
-} // namespace
-
-BlockTable makeBlockTable(const std::vector<BlockSpec> &blocks,
-                          const std::vector<SiteSpec> &sites) {
+BlockTable
+makeBlockTable(const std::vector<BlockSpec> &blocks,
+               const std::vector<SiteSpec> &sites,
+               const std::vector<std::shared_ptr<const BlockPart>> &parts) {
   BlockTable table;
   table.Sites = sites;
   std::map<SiteId, std::uint16_t> numbers;
   for (std::size_t i = 0; i < sites.size() && i <= UINT16_MAX; ++i)
     numbers.emplace(sites[i].Name, static_cast<std::uint16_t>(i));
-  table.Blocks.reserve(blocks.size());
+  std::size_t total = blocks.size();
+  for (const auto &part : parts)
+    total += part->Blocks.size();
+  table.Blocks.reserve(total);
   for (const BlockSpec &spec : blocks) {
     BlockEntry entry;
     auto site = numbers.find(spec.Site);
-    if (site == numbers.end() || !parseCidr(spec.Cidr, entry))
+    if (site == numbers.end() || !parseBlock(spec.Cidr, entry))
       continue;
     entry.Site = site->second;
     table.Blocks.push_back(entry);
   }
+  for (const auto &part : parts) {
+    std::vector<std::optional<std::uint16_t>> known;
+    for (const SiteId &it : part->Sites) {
+      auto site = numbers.find(it);
+      known.push_back(site == numbers.end() ? std::nullopt
+                                            : std::optional(site->second));
+    }
+    for (BlockEntry entry : part->Blocks) {
+      if (!known[entry.Site])
+        continue;
+      entry.Site = *known[entry.Site];
+      table.Blocks.push_back(entry);
+    }
+  }
   // Stable, so that of a block given twice the first one stays on every VM.
   std::stable_sort(table.Blocks.begin(), table.Blocks.end(), isBefore);
-  auto same = [](const BlockEntry &a, const BlockEntry &b) {
-    return a.First == b.First && a.PrefixLength == b.PrefixLength;
-  };
   table.Blocks.erase(
-      std::unique(table.Blocks.begin(), table.Blocks.end(), same),
+      std::unique(table.Blocks.begin(), table.Blocks.end(), isSameBlock),
       table.Blocks.end());
   linkParents(table.Blocks);
   return table;
--- /dev/null
+++ b/src/savoryctl/block_commands.cpp
@@ -0,0 +1,182 @@
+#include "block_commands.h"
+
+#include "config_commands.h"
+#include "daemon_status.h"
+#include "json_text.h"
+#include "store_keys.h"
+#include "store_write.h"
+
+#include "savorylb/block_parts.h"
+#include "savorylb/config.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace savorylb {
+
+namespace {
+
+/// A document in the store and the revision that a change of it must exceed.
+struct HeldDocument {
+  StoreValue Value;
+  Revision Rev;
+  /// Daemons hold a newer revision, so the store came back older.
+  bool Behind = false;
+};
+
+/// A run of the command.
+struct BlockWriter {
+  const ToolContext &Context;
+  const std::vector<std::string> &Daemons;
+  std::set<std::string> Silent{};
+  int Written = 0;
+  CommandResult Failed{};
+
+  bool fail(ExitCode code, const std::string &message) {
+    Failed = makeResult(code, message);
+    Failed.Data["parts_written"] = Written;
+    return false;
+  }
+
+  std::optional<HeldDocument> read(const std::string &key) {
+    KnownRevision known = askRevisions(Context, Daemons, key);
+    Silent.insert(known.Silent.begin(), known.Silent.end());
+    Result<StoreValue> value = readDocument(Context, key);
+    if (!value) {
+      fail(ExitCode::StoreUnavailable,
+           "not applied: " + key + ": " + value.error().Message);
+      return std::nullopt;
+    }
+    Revision held = revisionField(value.value().Content);
+    return HeldDocument{value.value(), std::max(held, known.Rev),
+                        held < known.Rev};
+  }
+
+  bool write(const std::string &key, const std::string &content,
+             std::uint64_t index) {
+    WriteReport report = writeDocument(Context, key, content, index);
+    switch (report.Outcome) {
+    case WriteOutcome::Applied:
+      return true;
+    case WriteOutcome::Conflict:
+      return fail(ExitCode::Conflict,
+                  "conflict: not applied, another change of " + key +
+                      " was first; " + report.Message);
+    case WriteOutcome::NotWritten:
+      return fail(ExitCode::StoreUnavailable,
+                  "not applied: " + key + ": " + report.Message);
+    default:
+      return fail(ExitCode::Unknown, "outcome unknown for " + key + ": " +
+                                         report.Message +
+                                         "; apply the same file again");
+    }
+  }
+
+  /// Writes a part unless the store holds the same blocks.
+  /// \returns its revision, nothing when the command ends.
+  std::optional<Revision> writePart(std::size_t number, BlockPart part) {
+    std::string key = BlockPartsPrefix + std::to_string(number);
+    std::optional<HeldDocument> held = read(key);
+    if (!held)
+      return std::nullopt;
+    part.Rev = held->Rev;
+    bool present = held->Value.ModifyIndex > 0 && held->Rev > Revision(0);
+    if (present && !held->Behind &&
+        formatBlockPart(part) == held->Value.Content)
+      return part.Rev;
+    part.Rev = held->Rev + Revision(1);
+    if (!write(key, formatBlockPart(part), held->Value.ModifyIndex))
+      return std::nullopt;
+    ++Written;
+    return part.Rev;
+  }
+};
+
+/// Checks that the configuration in the store has the sites.
+bool checkSites(BlockWriter &writer, const std::string &file,
+                const BlockPart &all, Findings &findings) {
+  Result<StoreValue> value = readDocument(writer.Context, ConfigKey);
+  if (!value)
+    return writer.fail(ExitCode::StoreUnavailable,
+                       "not applied: " + value.error().Message);
+  Findings ignored;
+  Config config = parseConfig(ConfigKey, value.value().Content, ignored);
+  std::set<SiteId> known;
+  for (const SiteSpec &it : config.Sites)
+    known.insert(it.Name);
+  for (const SiteId &it : all.Sites)
+    if (known.count(it) == 0)
+      findings.push_back(
+          {file, 1, "",
+           "site \"" + it.Value + "\" is not in the configuration in force"});
+  return true;
+}
+
+/// Parts of the index that the store holds; one without any.
+std::size_t leastParts(const BlockIndex &index) {
+  std::size_t out = 1;
+  while (out < index.Parts.size())
+    out *= 2;
+  return out;
+}
+
+CommandResult finished(const BlockWriter &writer, const BlockIndex &index,
+                       std::size_t blocks, bool changed) {
+  CommandResult out = makeResult(
+      ExitCode::Ok, std::string(changed ? "applied" : "already in force as") +
+                        " revision " + std::to_string(index.Rev.Value) + ": " +
+                        std::to_string(blocks) + " blocks, " +
+                        std::to_string(writer.Written) + " of " +
+                        std::to_string(index.Parts.size()) + " parts written");
+  out.Data["revision"] = Json::Int64(index.Rev.Value);
+  out.Data["changed"] = changed;
+  out.Data["blocks"] = Json::UInt64(blocks);
+  out.Data["parts"] = Json::UInt64(index.Parts.size());
+  out.Data["parts_written"] = writer.Written;
+  for (const std::string &it : writer.Silent)
+    addWarning(out, "daemon " + it + " did not tell its revisions");
+  return out;
+}
+
+} // namespace
+
+CommandResult applyBlocks(const ToolContext &context, const std::string &file,
+                          const std::string &text,
+                          const std::vector<std::string> &daemons) {
+  Findings findings;
+  BlockPart all = parseBlockList(file, text, findings);
+  BlockWriter writer{context, daemons};
+  if (findings.empty() && !checkSites(writer, file, all, findings))
+    return writer.Failed;
+  if (!findings.empty())
+    return findingsResult(findings);
+  // Read first: a change of another operator in between is then a conflict.
+  std::optional<HeldDocument> held = writer.read(BlockIndexKey);
+  if (!held)
+    return writer.Failed;
+  Findings ignored;
+  BlockIndex current;
+  if (!held->Value.Content.empty())
+    current = parseBlockIndex(BlockIndexKey, held->Value.Content, ignored);
+  std::vector<BlockPart> parts = splitBlocks(all, leastParts(current));
+  for (const BlockPart &it : parts)
+    if (formatBlockPart(it).size() + 20 > MaxPartBytes)
+      return makeResult(ExitCode::Usage, file + ": too many blocks");
+  BlockIndex next;
+  for (std::size_t n = 0; n < parts.size(); ++n) {
+    std::optional<Revision> rev = writer.writePart(n, std::move(parts[n]));
+    if (!rev)
+      return writer.Failed;
+    next.Parts.push_back(*rev);
+  }
+  if (!held->Behind && held->Rev > Revision(0) && next.Parts == current.Parts)
+    return finished(writer, current, all.Blocks.size(), false);
+  next.Rev = held->Rev + Revision(1);
+  if (!writer.write(BlockIndexKey, formatBlockIndex(next),
+                    held->Value.ModifyIndex))
+    return writer.Failed;
+  return finished(writer, next, all.Blocks.size(), true);
+}
+
+} // namespace savorylb
--- a/src/savoryctl/command_line.cpp
+++ b/src/savoryctl/command_line.cpp
@@ -1,5 +1,6 @@
 #include "command_line.h"
 
+#include "block_commands.h"
 #include "command_options.h"
 #include "config_commands.h"
 #include "daemon_status.h"
@@ -107,6 +108,22 @@
         showHistory);
 }
 
+void addBlockCommands(const Builder &builder) {
+  const Options &it = builder.Values;
+  CLI::App *blocks =
+      builder.App.add_subcommand("blocks", "client blocks of their own");
+  blocks->require_subcommand(1);
+  CLI::App *apply =
+      blocks->add_subcommand("apply", "put a list of blocks in force");
+  apply->add_option("FILE", it->File, "a line CIDR SITE for each block")
+      ->required();
+  addDaemons(builder, apply);
+  onRun(builder, apply,
+        onFile(it, [it](const ToolContext &context, const std::string &text) {
+          return applyBlocks(context, it->File, text, it->Daemons);
+        }));
+}
+
 void addKeyCommands(const Builder &builder) {
   const Options &it = builder.Values;
   CLI::App *keys = builder.App.add_subcommand("keys", "keys of teams");
@@ -236,6 +253,7 @@
   app.add_flag("--json", out.Json, "print JSON");
   Builder builder{app, out, std::make_shared<CommandOptions>()};
   addConfigCommands(builder);
+  addBlockCommands(builder);
   addKeyCommands(builder);
   addDrainCommands(builder);
   addRolloutCommands(builder);
--- a/src/savorylbd/admin_server.cpp
+++ b/src/savorylbd/admin_server.cpp
@@ -28,8 +28,8 @@
 
 Json::Value revisionsJson(Daemon &daemon) {
   Json::Value revisions(Json::objectValue);
-  for (const auto &[key, document] : heldDocuments(daemon))
-    revisions[key] = Json::Int64(document.Rev.Value);
+  for (const auto &[key, revision] : heldRevisions(daemon))
+    revisions[key] = Json::Int64(revision.Value);
   return revisions;
 }
 
@@ -97,6 +97,14 @@
   return out;
 }
 
+Json::Value blocksJson(Daemon &daemon) {
+  SnapshotPtr snapshot = currentSnapshot(daemon);
+  Json::Value out(Json::objectValue);
+  out["revision"] = Json::Int64(snapshot->BlocksRev.Value);
+  out["count"] = Json::UInt64(snapshot->Blocks->Blocks.size());
+  return out;
+}
+
 Json::Value statusJson(Daemon &daemon) {
   Json::Value out(Json::objectValue);
   out["vm"] = daemon.Conf.Vm.Value;
@@ -106,6 +114,7 @@
   out["keys_in_force"] = daemon.KeysInForce.load();
   out["requests_in_flight"] = daemon.RequestsInFlight.load();
   out["revisions"] = revisionsJson(daemon);
+  out["blocks"] = blocksJson(daemon);
   out["membership"] = membershipJson(daemon);
   out["vms"] = vmsJson(daemon);
   out["rollouts"] = rolloutsJson(daemon);
--- /dev/null
+++ b/src/savorylbd/block_state.cpp
@@ -0,0 +1,96 @@
+#include "block_state.h"
+
+#include "daemon.h"
+#include "savorylb/clock.h"
+#include "savorylb/event_log.h"
+
+#include <optional>
+
+namespace savorylb {
+namespace {
+
+/// \returns the number of a part, nothing when the key names none.
+std::optional<std::size_t> partNumber(const std::string &key) {
+  for (std::size_t n = 0; n < MaxBlockParts; ++n)
+    if (key == blockPartKey(n))
+      return n;
+  return std::nullopt;
+}
+
+/// Puts the parts in force once all that the index names are held, so that no
+/// lookup is answered by half of a change.
+void putBlocksInForce(Daemon &daemon) {
+  BlockState &state = daemon.Documents.Blocks;
+  if (state.Index.Rev == state.InForceRev)
+    return;
+  std::vector<std::shared_ptr<const BlockPart>> parts;
+  for (std::size_t n = 0; n < state.Index.Parts.size(); ++n) {
+    auto it = state.Parts.find(n);
+    if (it == state.Parts.end() || it->second->Rev < state.Index.Parts[n])
+      return;
+    parts.push_back(it->second);
+  }
+  state.InForce = std::move(parts);
+  state.InForceRev = state.Index.Rev;
+  std::size_t total = 0;
+  editSnapshot(daemon, [&](Snapshot &it) {
+    auto table = std::make_shared<const BlockTable>(
+        makeBlockTable(it.Conf.Blocks, it.Conf.Sites, state.InForce));
+    total = table->Blocks.size();
+    it.Blocks = table;
+    it.BlocksRev = state.InForceRev;
+  });
+  logEvent(EventCode::BlocksInForce,
+           {{"revision", state.InForceRev.Value},
+            {"parts", static_cast<std::int64_t>(state.InForce.size())},
+            {"blocks", static_cast<std::int64_t>(total)}});
+}
+
+} // namespace
+
+std::string blockPartKey(std::size_t number) {
+  return BlockPartsPrefix + std::to_string(number);
+}
+
+std::string applyBlocks(Daemon &daemon, const std::string &key,
+                        const std::string &content) {
+  Findings findings;
+  BlockState &state = daemon.Documents.Blocks;
+  if (key == BlockIndexKey) {
+    BlockIndex index = parseBlockIndex(key, content, findings);
+    if (!findings.empty())
+      return formatFindings(findings);
+    state.Index = std::move(index);
+  } else {
+    std::optional<std::size_t> number = partNumber(key);
+    if (!number)
+      return key + ": there is no such part";
+    BlockPart part = parseBlockPart(key, content, findings);
+    if (!findings.empty())
+      return formatFindings(findings);
+    state.Parts[*number] = std::make_shared<const BlockPart>(std::move(part));
+  }
+  putBlocksInForce(daemon);
+  return "";
+}
+
+void fetchBlockParts(Daemon &daemon, const std::string &indexContent) {
+  Findings findings;
+  BlockIndex index = parseBlockIndex(BlockIndexKey, indexContent, findings);
+  if (!findings.empty())
+    return;
+  for (std::size_t n = 0; n < index.Parts.size() && !daemon.Stopping; ++n) {
+    std::string key = blockPartKey(n);
+    if (heldRevision(daemon, key) == index.Parts[n])
+      continue;
+    Result<StoreValue> value = daemon.Store.Get(key);
+    if (value)
+      offerDocument(daemon, key, value.value().Content,
+                    value.value().ModifyIndex, DocumentSource::Store);
+    else if (value.error().Code != ErrorCode::NotFound)
+      // The next answer of the watch tries again.
+      return;
+  }
+}
+
+} // namespace savorylb
--- a/src/savorylbd/caller_server.cpp
+++ b/src/savorylbd/caller_server.cpp
@@ -236,7 +236,7 @@
   query.ClientAddress = *address;
   SnapshotPtr snapshot = currentSnapshot(daemon);
   LookupAnswer answer =
-      lookUp(*lookupIndex(daemon), snapshot->Blocks, query, monoNow());
+      lookUp(*lookupIndex(daemon), *snapshot->Blocks, query, monoNow());
   if (!answer.IdentityPrefix.empty())
     answer.IdentityPrefix = stampedPrefix(daemon, answer.IdentityPrefix);
   countEvent("lookups");
--- a/src/savorylbd/document_state.cpp
+++ b/src/savorylbd/document_state.cpp
@@ -14,14 +14,6 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-void rebuildSnapshot(Daemon &daemon,
-                     const std::function<void(Snapshot &)> &edit) {
-  auto next = std::make_shared<Snapshot>(*currentSnapshot(daemon));
-  edit(*next);
-  std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
-  daemon.Documents.Current = next;
-}
-
 /// \returns an empty text, or why the document is not valid.
 std::string applyConfig(Daemon &daemon, const std::string &key,
                         const std::string &content) {
@@ -30,8 +22,9 @@
   if (!findings.empty())
     return formatFindings(findings);
   bool first = currentSnapshot(daemon)->Conf.Rev == Revision(0);
-  rebuildSnapshot(daemon, [&](Snapshot &it) {
-    it.Blocks = makeBlockTable(config.Blocks, config.Sites);
+  editSnapshot(daemon, [&](Snapshot &it) {
+    it.Blocks = std::make_shared<const BlockTable>(makeBlockTable(
+        config.Blocks, config.Sites, daemon.Documents.Blocks.InForce));
     it.Conf = std::move(config);
   });
   Revision revision = currentSnapshot(daemon)->Conf.Rev;
@@ -46,8 +39,8 @@
   Result<KeyRing> ring = parseKeyRing(content);
   if (!ring)
     return ring.error().Message;
-  rebuildSnapshot(daemon,
-                  [&](Snapshot &it) { it.Keys = std::move(ring.value()); });
+  editSnapshot(daemon,
+               [&](Snapshot &it) { it.Keys = std::move(ring.value()); });
   return "";
 }
 
@@ -85,6 +78,8 @@
     return applyZone(daemon, key, content, storeIndex);
   if (startsWith(key, RolloutsPrefix))
     return applyRecord(daemon, content);
+  if (key == BlockIndexKey || startsWith(key, BlockPartsPrefix))
+    return applyBlocks(daemon, key, content);
   return "";
 }
 
@@ -196,6 +191,13 @@
   return daemon.Documents.Current;
 }
 
+void editSnapshot(Daemon &daemon, const std::function<void(Snapshot &)> &edit) {
+  auto next = std::make_shared<Snapshot>(*currentSnapshot(daemon));
+  edit(*next);
+  std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
+  daemon.Documents.Current = next;
+}
+
 void offerDocument(Daemon &daemon, const std::string &key,
                    const std::string &content, std::uint64_t storeIndex,
                    DocumentSource source) {
@@ -210,9 +212,10 @@
   return it == daemon.Documents.Documents.end() ? CachedDocument{} : it->second;
 }
 
-std::map<std::string, CachedDocument> heldDocuments(Daemon &daemon) {
+Revision heldRevision(Daemon &daemon, const std::string &key) {
   std::lock_guard<std::mutex> guard(daemon.Documents.Lock);
-  return daemon.Documents.Documents;
+  auto it = daemon.Documents.Documents.find(key);
+  return it == daemon.Documents.Documents.end() ? Revision(0) : it->second.Rev;
 }
 
 std::map<std::string, Revision> heldRevisions(Daemon &daemon) {
--- a/src/savorylbd/document_state.h
+++ b/src/savorylbd/document_state.h
@@ -1,11 +1,13 @@
 #ifndef SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
 #define SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
 
+#include "block_state.h"
 #include "savorylb/document_cache.h"
 #include "savorylb/units.h"
 #include "savorylb/zone_document.h"
 #include "snapshot.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -28,6 +30,7 @@
   std::mutex AdoptLock;
   std::mutex Lock;
   std::map<std::string, CachedDocument> Documents;
+  BlockState Blocks;
   SnapshotPtr Current = std::make_shared<Snapshot>();
   /// Owner maps of all zones, to find home VMs.
   std::map<ZoneId, std::shared_ptr<const ZoneDocument>> Zones;
@@ -47,6 +50,10 @@
 /// \returns the configuration and keys in force.
 SnapshotPtr currentSnapshot(Daemon &daemon);
 
+/// Changes a copy of the configuration and keys and puts it in force; needs
+/// DocumentState::AdoptLock.
+void editSnapshot(Daemon &daemon, const std::function<void(Snapshot &)> &edit);
+
 /// Adopts, ignores, repairs or rejects a document.
 /// \param daemon the daemon.
 /// \param key its key in the store.
@@ -60,8 +67,8 @@
 /// \returns the held copy, without content when there is none.
 CachedDocument heldDocument(Daemon &daemon, const std::string &key);
 
-/// \returns key and copy of all held documents.
-std::map<std::string, CachedDocument> heldDocuments(Daemon &daemon);
+/// \returns the revision of the held copy, zero when there is none.
+Revision heldRevision(Daemon &daemon, const std::string &key);
 
 /// \returns key and revision of all held documents.
 std::map<std::string, Revision> heldRevisions(Daemon &daemon);
--- a/src/savorylbd/heartbeat.cpp
+++ b/src/savorylbd/heartbeat.cpp
@@ -72,8 +72,8 @@
     Daemon &daemon, const VmId &peer,
     const google::protobuf::RepeatedPtrField<peer::DocumentRevision> &in) {
   for (const peer::DocumentRevision &it : in) {
-    CachedDocument held = heldDocument(daemon, it.key());
-    if (static_cast<std::uint64_t>(held.Rev.Value) >= it.revision())
+    Revision held = heldRevision(daemon, it.key());
+    if (static_cast<std::uint64_t>(held.Value) >= it.revision())
       continue;
     std::lock_guard<std::mutex> guard(daemon.Peers.Lock);
     daemon.Peers.NewerAt[it.key()] = peer;
--- a/src/savorylbd/snapshot.h
+++ b/src/savorylbd/snapshot.h
@@ -13,7 +13,10 @@
 /// check the key again before they are sent.
 struct Snapshot {
   Config Conf;
-  BlockTable Blocks;
+  /// Shared: a copy of 530,000 blocks for each new set of keys costs 4 MB.
+  std::shared_ptr<const BlockTable> Blocks = std::make_shared<BlockTable>();
+  /// Revision of the index of the block parts in force.
+  Revision BlocksRev;
   KeyRing Keys;
 };
 
--- a/src/savorylbd/store_watch.cpp
+++ b/src/savorylbd/store_watch.cpp
@@ -42,12 +42,21 @@
     std::this_thread::sleep_for(std::min<Duration>(span, Millis(50)));
 }
 
+/// The parts come before the index that puts them in force. VMs that watch
+/// only the keys learn them from peers.
+void offerBlocks(Daemon &daemon, const StoreListing &listing) {
+  auto index = listing.Values.find(BlockIndexKey);
+  if (index != listing.Values.end() && watchesAllDocuments(daemon))
+    fetchBlockParts(daemon, index->second.Content);
+}
+
 void offerListing(Daemon &daemon, const StoreListing &listing) {
   // The configuration comes first: the other documents refer to it.
   auto config = listing.Values.find(ConfigKey);
   if (config != listing.Values.end())
     offerDocument(daemon, ConfigKey, config->second.Content,
                   config->second.ModifyIndex, DocumentSource::Store);
+  offerBlocks(daemon, listing);
   for (const auto &[key, value] : listing.Values)
     if (key != ConfigKey)
       offerDocument(daemon, key, value.Content, value.ModifyIndex,
