--- a/src/include/savorylb/block_entry.h
+++ b/src/include/savorylb/block_entry.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_BLOCK_ENTRY_H
 
 #include <cstdint>
+#include <string>
 
 namespace savorylb {
 
@@ -16,6 +17,25 @@
 
   static constexpr std::uint8_t NoParent = 255;
 };
+static_assert(sizeof(BlockEntry) == 8, "530,000 blocks must fit in 4 MB");
+
+/// Orders blocks by first address, enclosing blocks first.
+inline bool isBefore(const BlockEntry &a, const BlockEntry &b) {
+  return a.First != b.First ? a.First < b.First
+                            : a.PrefixLength < b.PrefixLength;
+}
+
+/// \returns whether both are the same block of addresses.
+inline bool isSameBlock(const BlockEntry &a, const BlockEntry &b) {
+  return a.First == b.First && a.PrefixLength == b.PrefixLength;
+}
+
+/// Reads an IPv4 block such as `10.1.0.0/16`.
+/// \returns whether it is one, without address bits beyond the prefix.
+bool parseBlock(const std::string &text, BlockEntry &entry);
+
+/// \returns the block as `10.1.0.0/16`.
+std::string formatBlock(const BlockEntry &entry);
 
 } // namespace savorylb
 
--- a/src/savorylbd/store_watch.cpp
+++ b/src/savorylbd/store_watch.cpp
@@ -42,14 +42,25 @@
     std::this_thread::sleep_for(std::min<Duration>(span, Millis(50)));
 }
 
+/// The parts come before the index that puts them in force. VMs that watch
+/// only the keys learn them from peers.
+void offerBlocks(Daemon &daemon, const StoreListing &listing) {
+  auto index = listing.Values.find(BlockIndexKey);
+  if (index != listing.Values.end() && watchesAllDocuments(daemon))
+    fetchBlockParts(daemon, index->second.Content);
+}
+
 void offerListing(Daemon &daemon, const StoreListing &listing) {
   // A new daemon must not serve by the configuration before it knows which
   // versions were taken back; all other documents refer to the configuration.
-  for (DocumentOrder order : AllDocumentOrders)
+  for (DocumentOrder order : AllDocumentOrders) {
+    if (order == DocumentOrder::Others)
+      offerBlocks(daemon, listing);
     for (const auto &[key, value] : listing.Values)
       if (documentOrder(key) == order)
         offerDocument(daemon, key, value.Content, value.ModifyIndex,
                       DocumentSource::Store);
+  }
 }
 
 /// Members of the own zone that the platform's list dropped a while ago.
