Compare what callers were told with the targets' executions

The stand-ins lacked three things: a target closes the connection after the work (close_ppm), it records executions of requests without an idempotency key by the number in their query, and the load generator reports the end of these, too.

--- a/src/standins/loadgen/caller.cpp
+++ b/src/standins/loadgen/caller.cpp
@@ -195,7 +195,7 @@
   auto rec = tryInOrder(plan, job, found.Vms, pool,
                         start + milliseconds(plan.DeadlineMs));
   auto end = steady_clock::now();
-  rec.Identity = job.Identity;
+  rec.Identity = job.Identity.empty() ? job.Nonce : job.Identity;
   rec.Repeat = job.Repeat;
   rec.StartLagMicros = duration_cast<microseconds>(start - job.Due).count();
   rec.Micros = duration_cast<microseconds>(end - start).count();
--- a/src/standins/loadgen/request_record.h
+++ b/src/standins/loadgen/request_record.h
@@ -13,6 +13,7 @@
   Outcome End = Outcome::NotRun;
   /// Reason of the last refusal or failure, or "".
   std::string Reason;
+  /// Idempotency key, or the number in the query of a request without one.
   std::string Identity;
   bool Repeat = false;
   /// The answer belongs to another request.
--- a/src/standins/loadgen/stream_report.cpp
+++ b/src/standins/loadgen/stream_report.cpp
@@ -43,8 +43,7 @@
   RanTwice += rec.RanTwice;
   Attempts += static_cast<std::uint64_t>(rec.Attempts);
   StartLags.push_back(static_cast<std::uint32_t>(rec.StartLagMicros));
-  if (!rec.Identity.empty())
-    Ends.push_back({rec.Identity, rec.End, rec.Reason, rec.Repeat});
+  Ends.push_back({rec.Identity, rec.End, rec.Reason, rec.Repeat});
   if (!rec.ServedBy.empty()) {
     auto &it = ServedBy[rec.ServedBy];
     ++it.first;
@@ -84,6 +83,7 @@
   out["service"] = plan.Service;
   out["method"] = plan.Method;
   out["path"] = plan.Path;
+  out["at_most_once"] = plan.AtMostOnce;
   Totals.write(out);
   out["skipped"] = static_cast<Json::UInt64>(Skipped);
   out["repeats"] = static_cast<Json::UInt64>(Repeats);
--- a/src/standins/targetstandin/execution_log.h
+++ b/src/standins/targetstandin/execution_log.h
@@ -10,7 +10,8 @@
 
 namespace savorylb::standin {
 
-/// Executions by idempotency key, across all targets of the process.
+/// Executions by idempotency key, or by the number `n` in the query of requests
+/// without one, across all targets of the process.
 class ExecutionLog {
 public:
   /// Notes an execution.
--- a/src/standins/targetstandin/target.cpp
+++ b/src/standins/targetstandin/target.cpp
@@ -45,6 +45,7 @@
       {"late_ms", number(&F::LateMs)},
       {"truncate_ppm", number(&F::TruncatePpm)},
       {"cross_ppm", number(&F::CrossPpm)},
+      {"close_ppm", number(&F::ClosePpm)},
       {"load_lag_ms", number(&F::LoadLagMs)},
       {"big_bytes", number(&F::BigBytes)},
       {"fail_status",
--- a/src/standins/targetstandin/target_call.cpp
+++ b/src/standins/targetstandin/target_call.cpp
@@ -135,6 +135,10 @@
   auto name = spec().Name;
   if (w.Key.empty()) {
     w.Executed = counts().Numbers["executed"];
+    auto q = queryOf(w.Req);
+    auto number = q.find("n");
+    if (number != q.end())
+      Log.note(number->second, name);
   } else {
     w.Executed = Log.note(w.Key, name);
     if (w.Executed > 1)
@@ -193,6 +197,10 @@
   it.Body = compactJson(out);
   if (f.CrossPpm > 0 && Cross.swap(it, chance(f.CrossPpm)))
     count("crossed");
+  if (chance(f.ClosePpm)) {
+    count("closed");
+    return dropConnection(w.Req, w.Resp);
+  }
   if (f.LateMs > 0 && waitForClose(w.Fd, f.LateMs * 1000)) {
     count("left_late");
     return dropConnection(w.Req, w.Resp);
--- a/src/standins/targetstandin/target_counts.cpp
+++ b/src/standins/targetstandin/target_counts.cpp
@@ -8,10 +8,10 @@
 
 // Listed even when they are zero, so that a test can compare them.
 const char *const AlwaysListed[] = {
-    "requests",  "executed",   "over_slots", "highest_concurrency",
-    "keys_seen", "shed",       "failed",     "second_executions",
-    "cancelled", "deadline",   "truncated",  "crossed",
-    "silent",    "after_drain"};
+    "requests",  "executed",    "over_slots", "highest_concurrency",
+    "keys_seen", "shed",        "failed",     "second_executions",
+    "cancelled", "deadline",    "truncated",  "crossed",
+    "silent",    "after_drain", "closed"};
 
 } // namespace
 
--- a/src/standins/targetstandin/target_faults.h
+++ b/src/standins/targetstandin/target_faults.h
@@ -29,6 +29,9 @@
   std::int64_t LateMs = 0;
   std::int64_t TruncatePpm = 0;
   std::int64_t CrossPpm = 0;
+  /// Part of the requests whose connection is closed after the work, instead of
+  /// an answer.
+  std::int64_t ClosePpm = 0;
   /// Health status reported instead of the true one, or "".
   std::string HealthLie;
   /// "idle" reports no busy slots and twice the slots, "busy" all slots busy.
--- a/testsuite/standins.test.sh
+++ b/testsuite/standins.test.sh
@@ -175,6 +175,10 @@
 ask "$one/c2" -H 'X-Attempt-Nonce: c-2' > "$dir/c2"
 wait $first
 check "crossed" "c-2 c-1" "$(jq -r .nonce "$dir/c1") $(jq -r .nonce "$dir/c2")"
+put "$fleet/set?cross_ppm=0&close_ppm=1000000" > /dev/null
+check "closed instead of an answer" "000 1" "$(code "$one/late?n=closed-1") $(ask "$fleet/executions" |
+  jq '.[] | select(.key == "closed-1").count')"
+put "$fleet/set?close_ppm=0" > /dev/null
 put "$fleet/set?cross_ppm=0&drain=1&load_lie=idle" > /dev/null
 check "draining" draining "$(ask "$one/health" | jq -r .status)"
 check "lying load" 4 "$(ask "$one/load" | jq .slots)"
