End planned stops without cutting, resetting or waiting on connections

Cause: finishDrain() stopped POCO's server and took "no request in flight" for the end of all work. Connections in the listen backlog and in POCO's queue were dropped, requests that arrived on open connections between that check and the exit were cut, and idle keep-alive connections ended with the process. The drain also waited for 0.5 s without any request, lookups included, so under lookups it always lasted drain_limit; and the exit waited for the blocking store query (2 s, up to 10 s for a VM that watches only the keys).

Now: a BPF filter on the listening socket drops new SYNs while established connections are accepted and served, then the socket closes; callers in that window (0.2 s) see a refused connection, so nothing was sent. Each connection ends between two requests: after a response with Connection: Close, or, when idle, with a last "503 draining, not-run" that also answers a request that crosses the close. Connections are read to their end before they close, so nothing is reset. Lookups no longer count as traffic, the wait for callers is bounded by the lifetime of a lookup response, and nobody joins the watch.

Ruled out: shutdown(SHUT_RD) on idle connections (cuts a request whose header is half read) and POCO's stopAll() (drops a request that is readable but not yet read).

--- a/src/savorylbd/caller_server.cpp
+++ b/src/savorylbd/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "caller_server.h"
 
+#include "caller_connection.h"
 #include "daemon.h"
 #include "http_reply.h"
 #include "key_freshness.h"
@@ -35,7 +36,6 @@
   Daemon &Owner;
   explicit InFlightGuard(Daemon &daemon) : Owner(daemon) {
     ++Owner.RequestsInFlight;
-    Owner.LastRequestAt = monoNow().time_since_epoch().count();
   }
   ~InFlightGuard() { --Owner.RequestsInFlight; }
   InFlightGuard(const InFlightGuard &) = delete;
@@ -66,8 +66,16 @@
   }
 }
 
+/// During a planned stop callers are moved off their open connections, also
+/// when the stop began while their request ran.
+void closeIfDeparting(Daemon &daemon, HTTPServerResponse &response) {
+  if (daemon.Departing)
+    response.setKeepAlive(false);
+}
+
 void sendRefusal(Daemon &daemon, HTTPServerResponse &response,
                  const Refusal &refusal) {
+  closeIfDeparting(daemon, response);
   const char *outcome = refusal.NotRun ? "not-run" : "unknown";
   auto ms = std::chrono::duration_cast<Millis>(refusal.RetryAfter).count();
   response.set("X-Outcome", outcome);
@@ -85,6 +93,7 @@
 
 void setHead(Daemon &daemon, HTTPServerResponse &response, int status,
              const HeaderList &headers) {
+  closeIfDeparting(daemon, response);
   response.setStatusAndReason(
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   for (const auto &[name, value] : headers)
@@ -256,9 +265,7 @@
 void handleCaller(Daemon &daemon, HTTPServerRequest &request,
                   HTTPServerResponse &response) {
   InFlightGuard guard(daemon);
-  // During a planned stop callers are moved off their open connections.
-  if (daemon.Departing)
-    response.setKeepAlive(false);
+  closeIfDeparting(daemon, response);
   if (headersTooLarge(request, daemon.Conf.MaxHeaderBytes)) {
     Refusal refusal;
     refusal.Status = 431;
@@ -272,6 +279,8 @@
     if (uri.getPath() == "/v1/lookup")
       return serveLookup(daemon, request, response, uri);
   }
+  // Lookups do not count: callers may look up anywhere at any time.
+  daemon.LastRequestAt = monoNow().time_since_epoch().count();
   serveRequest(daemon, request, response);
 }
 
@@ -328,8 +337,8 @@
 
 } // namespace
 
-std::unique_ptr<Poco::Net::HTTPServer> startCallerServer(Daemon &daemon) {
-  auto *params = new Poco::Net::HTTPServerParams;
+std::unique_ptr<Poco::Net::TCPServer> startCallerServer(Daemon &daemon) {
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(daemon.Conf.MaxCallerConnections);
   params->setMaxQueued(daemon.Conf.MaxCallerConnections / 4);
   params->setTimeout(Poco::Timespan(SocketTimeout.count()));
@@ -340,8 +349,10 @@
     Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(
         daemon.Conf.Address,
         static_cast<Poco::UInt16>(daemon.Conf.CallerPort)));
-    auto server = std::make_unique<Poco::Net::HTTPServer>(
-        new CallerFactory(daemon), callerThreads(daemon), socket, params);
+    auto server = std::make_unique<Poco::Net::TCPServer>(
+        makeCallerConnections(daemon.Callers, params,
+                              new CallerFactory(daemon)),
+        callerThreads(daemon), socket, params);
     server->start();
     return server;
   } catch (const Poco::Exception &) {
--- a/src/savorylbd/caller_server.h
+++ b/src/savorylbd/caller_server.h
@@ -1,7 +1,7 @@
 #ifndef SAVORYLB_SAVORYLBD_CALLER_SERVER_H
 #define SAVORYLB_SAVORYLBD_CALLER_SERVER_H
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/TCPServer.h>
 #include <memory>
 
 namespace savorylb {
@@ -10,7 +10,7 @@
 
 /// Starts the interface for callers: lookups and requests.
 /// \returns null when the port cannot be used.
-std::unique_ptr<Poco::Net::HTTPServer> startCallerServer(Daemon &daemon);
+std::unique_ptr<Poco::Net::TCPServer> startCallerServer(Daemon &daemon);
 
 } // namespace savorylb
 
--- a/src/savorylbd/control_loop.cpp
+++ b/src/savorylbd/control_loop.cpp
@@ -114,7 +114,9 @@
       pollVmList(it);
   }));
   threads.emplace_back([&daemon] { runOwnership(daemon); });
-  threads.emplace_back([&daemon] { watchStore(daemon); });
+  // Nobody waits for its end: a waiting query of up to 10 s would delay the end
+  // of a planned stop by as much.
+  std::thread([&daemon] { watchStore(daemon); }).detach();
   for (int worker = 0; worker < ProbeWorkers; ++worker)
     threads.push_back(repeat(daemon, ProbeInterval, [worker](Daemon &it) {
       probeTargets(it, worker, ProbeWorkers);
--- a/src/savorylbd/daemon.h
+++ b/src/savorylbd/daemon.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_SAVORYLBD_DAEMON_H
 #define SAVORYLB_SAVORYLBD_DAEMON_H
 
+#include "caller_connection.h"
 #include "document_state.h"
 #include "fault_injection.h"
 #include "ledger_shards.h"
@@ -40,10 +41,12 @@
   RolloutShards Rollouts;
   LinkShards Links;
   FaultInjection Faults;
+  CallerConnections Callers;
 
   /// A planned stop has begun: lookups stop naming this VM.
   std::atomic<bool> Departing{false};
-  /// The grace of a planned stop is over: responses close their connection.
+  /// All work of a planned stop has ended: the drain alone changes the owner
+  /// map from here on.
   std::atomic<bool> Closing{false};
   /// Background threads end.
   std::atomic<bool> Stopping{false};
@@ -53,6 +56,7 @@
   /// Keys are fresh enough to serve keyed requests.
   std::atomic<bool> KeysInForce{true};
   std::atomic<int> RequestsInFlight{0};
+  /// When the last request to a service arrived.
   std::atomic<std::int64_t> LastRequestAt{0};
 };
 
--- a/src/savorylbd/drain.h
+++ b/src/savorylbd/drain.h
@@ -1,7 +1,7 @@
 #ifndef SAVORYLB_SAVORYLBD_DRAIN_H
 #define SAVORYLB_SAVORYLBD_DRAIN_H
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/TCPServer.h>
 
 namespace savorylb {
 
@@ -14,7 +14,7 @@
 /// resources off.
 /// \param daemon the daemon.
 /// \param callers the caller interface, which stops accepting connections.
-void finishDrain(Daemon &daemon, Poco::Net::HTTPServer &callers);
+void finishDrain(Daemon &daemon, Poco::Net::TCPServer &callers);
 
 } // namespace savorylb
 
