Compare versions until shortly before the deadline of a rollout

A rollout was recorded as done half-way to its deadline, or later when its last step came later. From then on nothing was compared, so a version that turned bad after that, though before the deadline, was not taken back.

Done now comes a tenth of the time before the deadline (3 to 60 s); until then the control share of the old version stays. Taking back a rollout that is done was ruled out: done is final, and the old version's targets may be gone.

--- a/src/libsavorylb/rollout_plan.cpp
+++ b/src/libsavorylb/rollout_plan.cpp
@@ -10,6 +10,10 @@
 // peers is in before the next, and no longer than needed to see load effects.
 constexpr Millis ShortestStep{1000};
 constexpr Millis LongestStep{10'000};
+// Time before the deadline in which "done" is written. It covers a slow store
+// and clocks that differ a little; an outage at the deadline makes it late.
+constexpr Millis ShortestReserve{3000};
+constexpr Millis LongestReserve{60'000};
 // Clocks that differ by more than this are not trusted to hold a step back.
 constexpr Millis ClockTolerance{60'000};
 // New requests that the slower of the two tests usually takes to accept.
@@ -90,10 +94,12 @@
                      missing / rate, static_cast<double>(plan.Total.count()))));
 }
 
-/// A rollout stays open for half its time: a version that turns bad after all
-/// steps is still compared with the control share of the old version.
+/// A rollout stays open until shortly before its deadline: a version that turns
+/// bad after all steps is still compared with the control share of the old one.
 WallTime soakedAt(const RolloutSpec &spec) {
-  return spec.Start + (spec.Deadline - spec.Start) / 2;
+  Millis total = std::max(spec.Deadline - spec.Start, Millis(0));
+  Millis reserve = std::clamp(total / 10, ShortestReserve, LongestReserve);
+  return spec.Deadline - std::min(reserve, total / 2);
 }
 
 } // namespace
--- a/src/libsavorylb/rollout_sim_test.cpp
+++ b/src/libsavorylb/rollout_sim_test.cpp
@@ -134,6 +134,23 @@
   }
 }
 
+// Guards against a version that turns bad between the last step and the
+// deadline and stays, because the rollout was recorded as done before.
+TEST(RolloutSim, FaultBeforeTheDeadlineIsFound) {
+  for (double factor : {1.0, 3.0})
+    for (int begin : {6'500, 8'500, 10'000}) {
+      Campaign late =
+          campaign("late fault", 20, factor,
+                   [&](const SimRequest &request, std::mt19937_64 &) {
+                     return request.Number >= begin;
+                   });
+      LONGS_EQUAL(0, late.Done);
+      CHECK(late.TakenBack >= 19);
+      // At 100 requests a second, 200 are the two seconds of P7.
+      CHECK(late.WorstBad <= 200);
+    }
+}
+
 // Guards against blaming the new version for a fault of the whole region.
 TEST(RolloutSim, RegionWideFaultIsNotBlamed) {
   for (bool slow : {false, true})
--- a/src/savorylbd/rollout_shards_test.cpp
+++ b/src/savorylbd/rollout_shards_test.cpp
@@ -17,10 +17,12 @@
                        const std::string &rollouts) {
   std::string targets;
   int port = 1;
-  for (const std::string &it : versions)
-    targets += std::string(targets.empty() ? "" : ",") + R"({"name": "t-)" +
-               it + R"(", "zone": "a", "slots": 1, "address": "127.0.0.1:)" +
-               std::to_string(port++) + R"(", "version": ")" + it + "\"}";
+  for (const std::string &it : versions) {
+    targets += targets.empty() ? "" : ",";
+    targets += R"({"name": "t-)" + it + R"(", "zone": "a", "slots": 1)";
+    targets += R"(, "address": "127.0.0.1:)" + std::to_string(port++);
+    targets += R"(", "version": ")" + it + "\"}";
+  }
   return R"({"revision": )" + std::to_string(revision) +
          R"(, "regions": [{"name": "r", "zones": ["a"]}],
              "services": [{"name": "tiles", "execution": "idempotent",
