Leave kept target connections that fall silent, and keep deadlines in bodies

Cause: a read on a connection that had gone silent waited for its whole time (2 s for tiles), its retry took another kept connection, and bodies that cannot be sent again went out on kept connections. The time-outs of the session never reached a socket that was open already, so a response that stalled in its body held its caller beyond the deadline.

Retries and bodies that cannot be sent again use fresh connections. The receive time-out is set on the socket for each read.

The checks of the shell tests passed on an empty file, since jq does; they fail now.

--- a/src/include/savorylb/target_client.h
+++ b/src/include/savorylb/target_client.h
@@ -32,6 +32,8 @@
   bool RequireEcho = false;
   /// Use only a connection that is certainly alive.
   bool VerifiedConnection = false;
+  /// It may be sent again, so it need not wait on a silent connection.
+  bool Repeatable = false;
   /// Polled while waiting; true means that the caller has left.
   std::function<bool()> Cancelled;
 };
@@ -58,7 +60,8 @@
   std::int64_t BodyBytes = 0;
   /// Bytes of the request body that were sent.
   std::int64_t SentBytes = 0;
-  /// `shed`, `truncated`, `crossed`, `timeout`, `connect`, `cancelled`, ...
+  /// `shed`, `truncated`, `crossed`, `timeout`, `connect`, `cancelled`, `silent`,
+  /// ...
   std::string Reason;
   Duration Took{};
 };
--- a/src/libsavoryedge/connection_pool.h
+++ b/src/libsavoryedge/connection_pool.h
@@ -17,6 +17,7 @@
 struct IdleConnection {
   std::unique_ptr<Poco::Net::HTTPClientSession> Session;
   MonoTime Since{};
+  MonoTime OpenedAt{};
 };
 
 /// Idle connections to targets, in shards by address.
@@ -28,19 +29,41 @@
   struct Shard {
     std::mutex Lock;
     std::unordered_map<std::string, std::vector<IdleConnection>> Idle;
+    /// Connections opened before this time no longer answer.
+    std::unordered_map<std::string, MonoTime> SilentBefore;
+    /// Longest recent response time.
+    std::unordered_map<std::string, Duration> Longest;
   };
   std::array<Shard, ShardCount> Shards;
 };
 
 /// Takes the most recently used idle connection that is not closed.
-/// \returns null when there is none.
-std::unique_ptr<Poco::Net::HTTPClientSession>
-takeIdle(ConnectionPool &pool, const std::string &address, MonoTime now);
+/// \returns one without a session when there is none.
+IdleConnection takeIdle(ConnectionPool &pool, const std::string &address,
+                        MonoTime now);
+
+/// Takes the idle connection that was opened first.
+/// \returns one without a session when there is none.
+IdleConnection takeOldest(ConnectionPool &pool, const std::string &address);
 
 /// Keeps a connection whose last response was read whole.
 void keepIdle(ConnectionPool &pool, const std::string &address,
-              std::unique_ptr<Poco::Net::HTTPClientSession> session,
-              MonoTime now);
+              IdleConnection connection, MonoTime now);
+
+/// Drops the idle connections of an address opened before a time, and lets
+/// requests on others of that age know.
+void markSilent(ConnectionPool &pool, const std::string &address,
+                MonoTime before);
+
+/// \returns whether connections opened at that time no longer answer.
+bool isMarkedSilent(ConnectionPool &pool, const std::string &address,
+                    MonoTime openedAt);
+
+/// Notes how long a response took; older times fade.
+void noteResponseTime(ConnectionPool &pool, const std::string &address,
+                      Duration took);
+/// \returns the longest of the recent response times.
+Duration longestResponse(ConnectionPool &pool, const std::string &address);
 
 /// \returns true when the peer has closed or sent something unasked.
 bool isReadable(Poco::Net::HTTPClientSession &session);
--- a/src/libsavoryedge/response_reader.cpp
+++ b/src/libsavoryedge/response_reader.cpp
@@ -52,6 +52,7 @@
 }
 
 struct BodyReader {
+  Poco::Net::HTTPClientSession &Session;
   std::istream &In;
   std::int64_t Length;
   MonoTime Deadline;
@@ -80,13 +81,19 @@
     return "caller-gone";
   std::vector<char> buf(ReadBuffer);
   while (reader.Length < 0 || reader.Response.BodyBytes < reader.Length) {
-    if (monoNow() >= reader.Deadline)
+    Duration left = reader.Deadline - monoNow();
+    if (left <= Duration(0))
       return "timeout";
+    reader.Session.socket().setReceiveTimeout(
+        Poco::Timespan(std::max<std::int64_t>(1000, left.count())));
     std::int64_t want = ReadBuffer;
     if (reader.Length >= 0)
       want = std::min(want, reader.Length - reader.Response.BodyBytes);
-    reader.In.read(buf.data(), want);
-    std::streamsize n = reader.In.gcount();
+    // Reads what has come; a read of the whole buffer would wait for a target
+    // that sends a byte now and then beyond the deadline.
+    if (reader.In.peek() == std::istream::traits_type::eof())
+      break;
+    std::streamsize n = reader.In.readsome(buf.data(), want);
     if (n <= 0)
       break;
     reader.Response.BodyBytes += n;
@@ -102,6 +109,8 @@
       return "caller-gone";
   }
   bool cut = reader.Length >= 0 && reader.Response.BodyBytes < reader.Length;
+  if (cut && monoNow() >= reader.Deadline)
+    return "timeout";
   return cut ? "truncated" : "";
 }
 
@@ -127,7 +136,8 @@
   if (!hasNoBody(request, response.Status)) {
     if (!chunked && length < 0)
       response.Reason = "no-length";
-    BodyReader reader{in, chunked ? -1 : length, deadline, sink, response};
+    BodyReader reader{session,  in,   chunked ? -1 : length,
+                      deadline, sink, response};
     if (response.Reason.empty())
       response.Reason = copyBody(reader);
     // A chunked body that was cut ends like a complete one; the closed
--- /dev/null
+++ b/src/libsavoryedge/silence_check.cpp
@@ -0,0 +1,47 @@
+#include "silence_check.h"
+
+#include "savorylb/clock.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/NullStream.h>
+#include <Poco/StreamCopier.h>
+
+namespace savorylb {
+
+bool keptConnectionsSuspect(ConnectionPool &pool, const std::string &address,
+                            MonoTime openedAt) {
+  using namespace Poco::Net;
+  MonoTime start = monoNow();
+  IdleConnection connection = takeOldest(pool, address);
+  if (!connection.Session)
+    return true;
+  if (connection.OpenedAt > openedAt) {
+    keepIdle(pool, address, std::move(connection), start);
+    return true;
+  }
+  try {
+    HTTPClientSession &session = *connection.Session;
+    session.socket().setReceiveTimeout(Poco::Timespan(SilenceTimeout.count()));
+    HTTPRequest request(HTTPRequest::HTTP_GET, "/health",
+                        HTTPRequest::HTTP_1_1);
+    request.setHost(address);
+    request.setKeepAlive(true);
+    session.sendRequest(request);
+    HTTPResponse response;
+    std::istream &body = session.receiveResponse(response);
+    Poco::NullOutputStream sink;
+    Poco::StreamCopier::copyStream(body, sink);
+    if (response.getKeepAlive() && session.connected())
+      keepIdle(pool, address, std::move(connection), monoNow());
+    return false;
+  } catch (const Poco::TimeoutException &) {
+    markSilent(pool, address, start);
+  } catch (const std::exception &) {
+    // A closed connection shows nothing about the others.
+  }
+  return true;
+}
+
+} // namespace savorylb
--- a/src/libsavoryedge/target_client_http.cpp
+++ b/src/libsavoryedge/target_client_http.cpp
@@ -3,6 +3,7 @@
 #include "connection_pool.h"
 #include "response_reader.h"
 #include "savorylb/clock.h"
+#include "silence_check.h"
 #include "target_probe.h"
 #include "url.h"
 
@@ -24,9 +25,12 @@
 constexpr std::size_t CopyBuffer = 65'536;
 
 struct Attempt {
+  ConnectionPool &Pool;
   const TargetRequest &Request;
   MonoTime Deadline;
   std::unique_ptr<HTTPClientSession> Session;
+  MonoTime OpenedAt{};
+  bool Reused = false;
   TargetResponse Response;
 };
 
@@ -36,16 +40,25 @@
 
 void applyTimeout(Attempt &attempt) {
   Poco::Timespan left(std::max<std::int64_t>(1000, remaining(attempt).count()));
-  attempt.Session->setTimeout(left, left, left);
+  // The session's own time-outs do not reach a socket that is already open.
+  attempt.Session->socket().setSendTimeout(left);
+  attempt.Session->socket().setReceiveTimeout(left);
 }
 
 /// \returns false, with the reason set, when no connection came about.
-bool openConnection(Attempt &attempt, ConnectionPool &pool) {
+bool openConnection(Attempt &attempt) {
   const TargetRequest &request = attempt.Request;
-  if (!request.VerifiedConnection)
-    attempt.Session = takeIdle(pool, request.Address, monoNow());
-  if (attempt.Session)
-    return true;
+  attempt.OpenedAt = monoNow();
+  if (!request.VerifiedConnection) {
+    IdleConnection kept =
+        takeIdle(attempt.Pool, request.Address, attempt.OpenedAt);
+    if (kept.Session) {
+      attempt.Session = std::move(kept.Session);
+      attempt.OpenedAt = kept.OpenedAt;
+      attempt.Reused = true;
+      return true;
+    }
+  }
   HostPort target = splitUrl(request.Address);
   attempt.Session =
       std::make_unique<HTTPClientSession>(target.Host, target.Port);
@@ -107,12 +120,30 @@
   return true;
 }
 
-enum class WaitResult { Readable, TimedOut, Cancelled };
+enum class WaitResult { Readable, TimedOut, Cancelled, Silent };
+
+/// \returns whether a repeatable request should leave its kept connection.
+bool foundSilent(Attempt &attempt, MonoTime &suspectAt) {
+  if (!attempt.Reused || !attempt.Request.Repeatable || monoNow() < suspectAt)
+    return false;
+  const std::string &address = attempt.Request.Address;
+  if (!isMarkedSilent(attempt.Pool, address, attempt.OpenedAt) &&
+      !keptConnectionsSuspect(attempt.Pool, address, attempt.OpenedAt)) {
+    suspectAt = attempt.Deadline;
+    return false;
+  }
+  return !isReadable(*attempt.Session);
+}
 
 WaitResult waitForResponse(Attempt &attempt) {
   pollfd fd{};
   fd.fd = attempt.Session->socket().impl()->sockfd();
   fd.events = POLLIN;
+  const std::string &address = attempt.Request.Address;
+  MonoTime suspectAt =
+      monoNow() +
+      std::max(SilenceSuspicion,
+               longestResponse(attempt.Pool, address) * SilenceFactor);
   while (true) {
     Duration left = remaining(attempt);
     if (left == Duration(0))
@@ -124,6 +155,8 @@
       return WaitResult::Readable;
     if (attempt.Request.Cancelled && attempt.Request.Cancelled())
       return WaitResult::Cancelled;
+    if (foundSilent(attempt, suspectAt))
+      return WaitResult::Silent;
   }
 }
 
@@ -145,6 +178,8 @@
     return fail(attempt, "timeout");
   case WaitResult::Cancelled:
     return fail(attempt, "cancelled");
+  case WaitResult::Silent:
+    return fail(attempt, "silent");
   case WaitResult::Readable:
     break;
   }
@@ -160,8 +195,9 @@
 TargetResponse sendToTarget(ConnectionPool &pool, const TargetRequest &request,
                             const ResponseSink &sink) {
   MonoTime start = monoNow();
-  Attempt attempt{request, start + request.Remaining, nullptr, {}};
-  if (openConnection(attempt, pool)) {
+  Attempt attempt{pool,  request, start + request.Remaining, nullptr, {},
+                  false, {}};
+  if (openConnection(attempt)) {
     try {
       runAttempt(attempt, sink);
     } catch (const Poco::TimeoutException &) {
@@ -173,9 +209,12 @@
         attempt.Response.Reason.empty() || attempt.Response.Reason == "shed";
     if (reusable && attempt.Session->connected() &&
         attempt.Session->getKeepAlive())
-      keepIdle(pool, request.Address, std::move(attempt.Session), monoNow());
+      keepIdle(pool, request.Address,
+               {std::move(attempt.Session), {}, attempt.OpenedAt}, monoNow());
   }
   attempt.Response.Took = monoNow() - start;
+  if (attempt.Response.Outcome == TargetOutcome::Done)
+    noteResponseTime(pool, request.Address, attempt.Response.Took);
   return std::move(attempt.Response);
 }
 
--- a/src/libsavoryedge/target_client_test.cpp
+++ b/src/libsavoryedge/target_client_test.cpp
@@ -2,6 +2,7 @@
 #include "scripted_server.h"
 
 #include <CppUTest/TestHarness.h>
+#include <thread>
 
 using namespace savorylb;
 
@@ -122,3 +123,24 @@
   STRCMP_EQUAL("timeout", response.Reason.c_str());
   CHECK(response.Took < Millis(400));
 }
+
+// Guards against a response that stalls in its body and holds the caller beyond
+// the deadline.
+TEST(TargetClient, EndsAtTheDeadlineInABody) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  std::atomic<bool> done{false};
+  std::thread target([&] {
+    Poco::Net::StreamSocket socket = server.acceptConnection();
+    std::string half = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf";
+    socket.sendBytes(half.data(), static_cast<int>(half.size()));
+    for (int i = 0; i < 200 && !done; ++i)
+      std::this_thread::sleep_for(Millis(10));
+  });
+  TargetRequest request = requestTo(server.address().toString());
+  request.Remaining = Millis(150);
+  TargetResponse response = makeHttpTargetClient().Send(request, {});
+  done = true;
+  target.join();
+  CHECK(response.Outcome == TargetOutcome::Unknown);
+  CHECK(response.Took < Millis(400));
+}
--- a/src/savorylbd/request_flow.cpp
+++ b/src/savorylbd/request_flow.cpp
@@ -48,9 +48,10 @@
     return SlotResult::Shed;
   if (response.Reason == "timeout")
     return SlotResult::TimedOut;
-  // The caller's leaving says nothing about the target.
+  // Neither the caller's leaving nor the connection says anything about the
+  // target.
   if (response.Reason == "cancelled" || response.Reason == "caller-gone" ||
-      response.Reason == "request-cut")
+      response.Reason == "request-cut" || response.Reason == "silent")
     return SlotResult::Unused;
   return SlotResult::Failed;
 }
@@ -72,7 +73,7 @@
 }
 
 TargetResponse sendAttempt(RequestContext &context, const PlacedSlot &slot,
-                           const ResponseSink &sink) {
+                           bool first, const ResponseSink &sink) {
   TargetRequest request;
   request.Address = slot.Grant.Address;
   request.Method = context.Method;
@@ -82,7 +83,9 @@
   request.Nonce = randomHex(8);
   request.Remaining = std::min(timeLeft(context), context.Service->MaxTime);
   request.RequireEcho = context.Service->RequireEcho;
-  request.VerifiedConnection = isOnce(context);
+  request.Repeatable = !isOnce(context) && bodyReplayable(context);
+  // A retry must not meet a second silent connection.
+  request.VerifiedConnection = !request.Repeatable || !first;
   // An at-most-once request runs to its end, so that a repeat can have the
   // answer.
   if (!isOnce(context))
@@ -190,7 +193,7 @@
         result.Refused = refuse(401, "unknown-key");
       return result;
     }
-    TargetResponse response = sendAttempt(context, slot, sink);
+    TargetResponse response = sendAttempt(context, slot, attempt == 1, sink);
     releasePlaced(context, slot, slotResult(response), response.Took,
                   response.SentBytes + response.BodyBytes);
     observeRequest(context.Owner, context.Service->Name, context.Route,
--- a/src/standins/targetstandin/connection_epochs.cpp
+++ b/src/standins/targetstandin/connection_epochs.cpp
@@ -10,7 +10,7 @@
   try {
     auto peer = socket.peerAddress().toString();
     std::lock_guard<std::mutex> guard(Lock);
-    Peers[peer] = Epoch;
+    Peers[peer] = {Epoch, Clock::now()};
     return true;
   } catch (const Poco::Exception &) {
     // The peer is already gone.
@@ -26,7 +26,16 @@
 bool ConnectionEpochs::isSilent(const std::string &peer) const {
   std::lock_guard<std::mutex> guard(Lock);
   auto it = Peers.find(peer);
-  return it != Peers.end() && it->second < Epoch;
+  return it != Peers.end() && it->second.Epoch < Epoch;
+}
+
+std::chrono::milliseconds ConnectionEpochs::age(const std::string &peer) const {
+  std::lock_guard<std::mutex> guard(Lock);
+  auto it = Peers.find(peer);
+  if (it == Peers.end())
+    return {};
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                               it->second.At);
 }
 
 } // namespace savorylb::standin
--- a/src/standins/targetstandin/connection_epochs.h
+++ b/src/standins/targetstandin/connection_epochs.h
@@ -3,6 +3,7 @@
 
 #include <Poco/Net/TCPServer.h>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -18,11 +19,19 @@
   /// Silences all connections accepted so far, for good.
   void silence();
   bool isSilent(const std::string &peer) const;
+  /// \returns how long ago the peer's connection was accepted.
+  std::chrono::milliseconds age(const std::string &peer) const;
 
 private:
+  using Clock = std::chrono::steady_clock;
+  struct Accepted {
+    std::uint64_t Epoch = 0;
+    Clock::time_point At{};
+  };
+
   mutable std::mutex Lock;
   std::uint64_t Epoch = 1;
-  std::map<std::string, std::uint64_t> Peers;
+  std::map<std::string, Accepted> Peers;
 };
 
 } // namespace savorylb::standin
--- a/src/standins/targetstandin/target_call.cpp
+++ b/src/standins/targetstandin/target_call.cpp
@@ -107,6 +107,11 @@
          0,
          "",
          0};
+  auto peer = req.clientAddress().toString();
+  // A fresh connection may fall silent just after it was chosen.
+  if (!w.Key.empty() && Epochs->isSilent(peer) &&
+      Epochs->age(peer) > std::chrono::seconds(1))
+    count("once_on_silent");
   if (holdIfSilent(w))
     return;
   if (w.Path == "/health")
--- a/src/standins/targetstandin/target_counts.cpp
+++ b/src/standins/targetstandin/target_counts.cpp
@@ -11,7 +11,7 @@
     "requests",  "executed",    "over_slots", "highest_concurrency",
     "keys_seen", "shed",        "failed",     "second_executions",
     "cancelled", "deadline",    "truncated",  "crossed",
-    "silent",    "after_drain", "closed"};
+    "silent",    "after_drain", "closed",     "once_on_silent"};
 
 } // namespace
 
--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -151,7 +151,8 @@
 
 # check DESCRIPTION JQ_CONDITION FILE: prints the figures when it fails.
 check() {
-  if jq -e "$2" "$3" > /dev/null 2>&1; then
+  # jq succeeds on an empty file.
+  if [ -s "$3" ] && jq -e "$2" "$3" > /dev/null 2>&1; then
     echo "ok: $1"
   else
     echo "FAILED: $1: $2"
