--- a/src/include/savorylb/target_request.h
+++ b/src/include/savorylb/target_request.h
@@ -26,6 +26,8 @@
   bool RequireEcho = false;
   /// Use only a connection that is certainly alive.
   bool VerifiedConnection = false;
+  /// It may be sent again, so it need not wait on a silent connection.
+  bool Repeatable = false;
   /// Polled while waiting; true means that the caller has left.
   std::function<bool()> Cancelled;
 };
--- a/src/libsavoryedge/idle_connection.h
+++ b/src/libsavoryedge/idle_connection.h
@@ -12,6 +12,7 @@
 struct IdleConnection {
   std::unique_ptr<Poco::Net::HTTPClientSession> Session;
   MonoTime Since{};
+  MonoTime OpenedAt{};
 };
 
 } // namespace savorylb
