Test fairness between teams with real processes

The targets' stand-in reports the time its slots were busy and the time there were slots, so that a test can tell how much of the slots was used. The load generator takes up to 800 threads instead of 200, since each waiting request of an overload needs one.

The weighted shares come from the configuration: teams that want less than theirs get all of it, the others divide the rest by weight.

--- a/src/standins/loadgen/main.cpp
+++ b/src/standins/loadgen/main.cpp
@@ -17,7 +17,8 @@
 
 namespace {
 
-constexpr int MaxThreads = 200;
+// An overload test needs a thread for each request that waits.
+constexpr int MaxThreads = 800;
 
 void generate(LoadOptions opt) {
   if (opt.RunId.empty())
--- a/src/standins/targetstandin/slot_gate.cpp
+++ b/src/standins/targetstandin/slot_gate.cpp
@@ -17,7 +17,15 @@
   return Active.size() >= static_cast<std::size_t>(Slots);
 }
 
+void SlotGate::account() const {
+  auto now = Clock::now();
+  Busy += (now - AccountedAt) * static_cast<int>(Active.size());
+  Offered += (now - AccountedAt) * Slots;
+  AccountedAt = now;
+}
+
 void SlotGate::freeClosed() {
+  account();
   auto before = Active.size();
   Active.remove_if([](int fd) { return waitForClose(fd, 0); });
   if (Active.size() == before)
@@ -48,6 +56,7 @@
   }
   Queue.erase(place);
   if (end == SlotEntry::Granted) {
+    account();
     Active.push_back(fd);
     Highest = std::max<std::uint64_t>(Highest, Active.size());
     History.record(static_cast<int>(Active.size()));
@@ -61,6 +70,7 @@
   auto it = std::find(Active.begin(), Active.end(), fd);
   if (it == Active.end())
     return;
+  account();
   Active.erase(it);
   History.record(static_cast<int>(Active.size()));
   Freed.notify_all();
@@ -68,6 +78,7 @@
 
 void SlotGate::setSlots(int n) {
   std::lock_guard<std::mutex> guard(Lock);
+  account();
   Slots = n;
   Freed.notify_all();
 }
@@ -97,9 +108,23 @@
   return Highest;
 }
 
+std::chrono::microseconds SlotGate::busyTime() const {
+  std::lock_guard<std::mutex> guard(Lock);
+  account();
+  return std::chrono::duration_cast<std::chrono::microseconds>(Busy);
+}
+
+std::chrono::microseconds SlotGate::slotTime() const {
+  std::lock_guard<std::mutex> guard(Lock);
+  account();
+  return std::chrono::duration_cast<std::chrono::microseconds>(Offered);
+}
+
 void SlotGate::resetCounts() {
   std::lock_guard<std::mutex> guard(Lock);
   Over = Highest = 0;
+  account();
+  Busy = Offered = {};
 }
 
 } // namespace savorylb::standin
--- a/src/standins/targetstandin/slot_gate.h
+++ b/src/standins/targetstandin/slot_gate.h
@@ -33,10 +33,16 @@
   int busyAt(Clock::time_point t) const;
   std::uint64_t overSlots() const;
   std::uint64_t highest() const;
+  /// \returns time that slots were busy, summed over the slots.
+  std::chrono::microseconds busyTime() const;
+  /// \returns time that there were slots, summed over the slots.
+  std::chrono::microseconds slotTime() const;
   void resetCounts();
 
 private:
   void freeClosed();
+  /// Adds the time since the last change; called before each change.
+  void account() const;
   bool full() const;
 
   mutable std::mutex Lock;
@@ -47,6 +53,9 @@
   LoadHistory History;
   std::uint64_t Over = 0;
   std::uint64_t Highest = 0;
+  mutable Clock::time_point AccountedAt = Clock::now();
+  mutable Clock::duration Busy{};
+  mutable Clock::duration Offered{};
 };
 
 } // namespace savorylb::standin
--- a/src/standins/targetstandin/target.cpp
+++ b/src/standins/targetstandin/target.cpp
@@ -127,6 +127,8 @@
   TargetCounts out = Counts;
   out.Numbers["over_slots"] = Gate.overSlots();
   out.Numbers["highest_concurrency"] = Gate.highest();
+  out.Numbers["busy_us"] = static_cast<std::uint64_t>(Gate.busyTime().count());
+  out.Numbers["slot_us"] = static_cast<std::uint64_t>(Gate.slotTime().count());
   return out;
 }
 
--- /dev/null
+++ b/testsuite/fairness.test.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Guards against a team that takes the slots of others: one team sends 5 times
+# its rate while all teams together want more than the slots hold.
+. "$(dirname "$0")/fleet.sh" "$1"
+use_deployment marine
+VM_EXTRA='{log_decisions: false}'
+DISTRIBUTION=fixed service_ms=250 seconds=20 flooder=pilots
+start_fleet "$service_ms"
+make_plan 1
+# The 64 slots of tiles serve 256 requests a second. The part of the rates leaves
+# the small teams within their weighted share, and public-charts wants more than
+# its own. The flooding team also calls permits, where slots are free, so that
+# its rate is what limits it.
+jq --arg flooder "$flooder" '
+  def part: if .team == $flooder then 5 elif .team == "public-charts" then 0.25 else 0.35 end;
+  {streams: [.streams[] | select(.service == "tiles" or (.service == "permits" and .team == $flooder)) |
+    .rate *= part | .deadline_ms = 2400 | .repeat_ppm = 0]}' "$WORK/plan.json" > "$WORK/flood.json"
+jq -c '.streams | group_by(.team) | map({team: .[0].team, offered: (map(.rate) | add | round)})' "$WORK/flood.json"
+LOAD_THREADS=800 MAX_IN_FLIGHT=800
+put "$TARGET_CONTROL/reset-counts"
+start_load "$seconds" "$WORK/flood.json" "$WORK/report"
+finish_load
+check_targets
+check_load "$WORK/report"
+# Weighted shares: a team that wants less than its share gets all it wants, and
+# the others divide the rest by weight.
+jq -n --slurpfile c "$WORK/deploy/config.json" --slurpfile p "$WORK/flood.json" --slurpfile r "$WORK/report" \
+  --arg flooder "$flooder" --argjson seconds "$seconds" --argjson ms "$service_ms" '
+  def weight($team): ($c[0].teams[] | select(.name == $team)) as $t |
+    $t.weight // $c[0].templates[$t.template].weight;
+  def rate($team): ($c[0].teams[] | select(.name == $team)) as $t |
+    ($t.rate // $t.parameters.rate // $c[0].templates[$t.template].rate) | tonumber;
+  def burst($team): ($c[0].teams[] | select(.name == $team)) as $t |
+    ($t.burst // $t.parameters.rate // $c[0].templates[$t.template].burst) | tonumber;
+  def fill($slots; $open): ($open | map(.weight) | add) as $sum |
+    [$open[] | select(.wanted <= $slots * .weight / $sum)] as $small |
+    if ($small | length) == 0 or ($small | length) == ($open | length) then
+      [$open[] | .share = ([.wanted, $slots * .weight / $sum] | min)]
+    else [$small[] | .share = .wanted] + fill($slots - ($small | map(.wanted) | add); $open - $small) end;
+  ([$c[0].services[] | select(.name == "tiles").targets[].slots] | add * 1000 / $ms * $seconds) as $nominal |
+  [$r[0].streams | map(select(.service == "tiles")) | group_by(.team)[] | {team: .[0].team, sent: (map(.sent) | add), done: (map(.done) | add),
+    not_run: (map(.not_run_by_reason | to_entries) | add | group_by(.key) | map({(.[0].key): (map(.value) | add)}) | add)} |
+    .weight = weight(.team) | .most = (rate(.team) * $seconds + burst(.team)) | .wanted = ([.sent, .most] | min)] as $teams |
+  # The queues are still served after the last request was sent.
+  ([$nominal, ($teams | map(.done) | add)] | max) as $slots |
+  ($r[0].streams | map(select(.team == $flooder))) as $flood |
+  {slots: $slots, nominal: $nominal, wanted: ($teams | map(.wanted) | add),
+   flood: {sent: ($flood | map(.sent) | add), done: ($flood | map(.done) | add),
+           rate: rate($flooder), most: (rate($flooder) * $seconds + burst($flooder))},
+   teams: [fill($slots; $teams)[] | .part = .done / .share]}' > "$WORK/shares.json"
+jq -c 'del(.teams), .teams[]' "$WORK/shares.json"
+check "the slots do not suffice" '.wanted > .slots' "$WORK/shares.json"
+check "the flooding team sent 5 times its rate" \
+  ".flood | .sent >= 4.75 * .rate * $seconds" "$WORK/shares.json"
+check "each other team got 98% of what it sent or of its share" \
+  "[.teams[] | select(.team != \"$flooder\") | .part >= 0.98] | all" "$WORK/shares.json"
+check "the flooding team stayed within its rate and burst" '.flood | .done <= .most' "$WORK/shares.json"
+check "the rate limited the flooding team" '.flood | .done >= .most * 0.7' "$WORK/shares.json"
+finish
