Refuse a wait that leaves no time to run

A request waited for a slot up to three quarters of its remaining time. Late attempts of a caller then got a slot with less time left than the service takes and ran into their deadline on the target: the slot was used for nothing, and the caller got "unknown" where "not run" was possible. Slots that are free at once are still granted, so that a wrong expectation corrects itself.

A random order of full owners, instead of the shortest published queue, was tried and left out.

--- a/src/savorylbd/service_shard.cpp
+++ b/src/savorylbd/service_shard.cpp
@@ -80,7 +80,10 @@
   request.Weight = query.Weight;
   request.Version = query.Version;
   request.EnqueuedAt = now;
-  request.GiveUpAt = now + query.MaxWait;
+  // A request that gets its slot later would run into its deadline there.
+  Duration latest = query.Remaining - shard.Queue.ServiceTime;
+  request.GiveUpAt =
+      now + std::max(Duration(0), std::min(query.MaxWait, latest));
   EnqueueResult queued = enqueueRequest(shard.Queue, request, slots, now);
   if (queued.Evicted)
     finishWaiter(shard, *queued.Evicted, std::nullopt);
