--- a/src/libsavorylb/rollout_plan.cpp
+++ b/src/libsavorylb/rollout_plan.cpp
@@ -10,8 +10,10 @@
 // peers is in before the next, and no longer than needed to see load effects.
 constexpr Millis ShortestStep{1000};
 constexpr Millis LongestStep{10'000};
-// Time before the deadline in which "done" is written. It covers a slow store
-// and clocks that differ a little; an outage at the deadline makes it late.
+// Time before the deadline in which "done" is written. It covers a slow store,
+// clocks that differ a little and a false suspicion on a route with few
+// requests, which takes 10 s and more to clear; an outage at the deadline makes
+// the rollout late.
 constexpr Millis ShortestReserve{3000};
 constexpr Millis LongestReserve{60'000};
 // Clocks that differ by more than this are not trusted to hold a step back.
@@ -98,7 +100,7 @@
 /// bad after all steps is still compared with the control share of the old one.
 WallTime soakedAt(const RolloutSpec &spec) {
   Millis total = std::max(spec.Deadline - spec.Start, Millis(0));
-  Millis reserve = std::clamp(total / 10, ShortestReserve, LongestReserve);
+  Millis reserve = std::clamp(total * 3 / 20, ShortestReserve, LongestReserve);
   return spec.Deadline - std::min(reserve, total / 2);
 }
 
