Adopt ledger partitions before the owner map that gives them is in force

Cause: applyZoneDocument() put the new owner map in force and filled the ledger of the gained partitions afterwards. A request that arrived in between met a home without entries and without quarantine and was let through, though it had run under an earlier home. The same held for a partition that was lost and gained again while a request was between the two checks.

Seen: one run of testsuite/double_kill.test.sh had 4 of 40 old bookings executed a second time after both VMs of a zone were restarted (four earlier runs had none). The unit test AnswersNothingBeforeAPartitionIsAdopted had 71 requests let through before the fix, still failed with adoption moved before the map alone, and has 0 in five runs with the check for being home made under the shard's lock as well.

That this race caused the 4 executions of that run is inferred from its kind and place; its logs were not kept.

--- a/src/savorylbd/ledger_shards.cpp
+++ b/src/savorylbd/ledger_shards.cpp
@@ -137,14 +137,16 @@
 
 BeginResult beginAtHome(Daemon &daemon, const OnceQuery &query) {
   BeginResult result;
-  if (!isHomeOf(daemon, query.Partition)) {
-    result.Verdict = OnceVerdict::NotHome;
-    return result;
-  }
   std::int64_t revision = currentRevision(daemon);
   LedgerShard &shard = shardOf(daemon, query.Partition);
   {
     std::lock_guard<std::mutex> guard(shard.Lock);
+    // Entries of a lost partition are dropped under the shard's lock, so only
+    // under it does being home mean that they are complete.
+    if (!isHomeOf(daemon, query.Partition)) {
+      result.Verdict = OnceVerdict::NotHome;
+      return result;
+    }
     MonoTime now = monoNow();
     result = beginOnce(shard.Own, query.Identity, query.Digest, query.Team,
                        now + query.Remaining, now, revision);
@@ -253,21 +255,32 @@
   return sendEntries(daemon, partition, {VmId(), endpoint}, false, true);
 }
 
-void applyPartitions(Daemon &daemon, const std::set<int> &before,
-                     const ZoneDocument &doc, const ZoneDocument &previous) {
+void adoptPartitions(Daemon &daemon, const ZoneDocument &doc,
+                     const ZoneDocument &previous) {
+  std::vector<int> before =
+      ownedPartitions(previous, daemon.Conf.Vm, daemon.Life);
   for (int p : ownedPartitions(doc, daemon.Conf.Vm, daemon.Life)) {
+    if (std::find(before.begin(), before.end(), p) != before.end())
+      continue;
     auto index = static_cast<std::size_t>(p);
     std::int64_t quarantinedAt =
         index < doc.QuarantinedAt.size() ? doc.QuarantinedAt[index] : 0;
     VmId owner = index < previous.Partitions.size() ? previous.Partitions[index]
                                                     : VmId();
-    if (before.count(p) == 0) {
-      adoptPartition(daemon, p, owner, quarantinedAt);
-    } else if (quarantinedAt == 0) {
-      LedgerShard &shard = shardOf(daemon, p);
-      std::lock_guard<std::mutex> guard(shard.Lock);
-      shard.Own.QuarantineRevision = 0;
-    }
+    adoptPartition(daemon, p, owner, quarantinedAt);
+  }
+}
+
+void applyPartitions(Daemon &daemon, const std::set<int> &before,
+                     const ZoneDocument &doc) {
+  for (int p : ownedPartitions(doc, daemon.Conf.Vm, daemon.Life)) {
+    auto index = static_cast<std::size_t>(p);
+    if (before.count(p) == 0 ||
+        (index < doc.QuarantinedAt.size() && doc.QuarantinedAt[index] != 0))
+      continue;
+    LedgerShard &shard = shardOf(daemon, p);
+    std::lock_guard<std::mutex> guard(shard.Lock);
+    shard.Own.QuarantineRevision = 0;
   }
   std::vector<int> now = ownedPartitions(doc, daemon.Conf.Vm, daemon.Life);
   for (int p : before) {
--- a/src/savorylbd/ledger_shards.h
+++ b/src/savorylbd/ledger_shards.h
@@ -71,13 +71,21 @@
 /// Sends a partition's entries to the VM it is handed to.
 bool sendPartition(Daemon &daemon, int partition, const std::string &endpoint);
 
-/// Brings the ledger in line with a newer owner map.
+/// Takes the entries and quarantines of the partitions that a newer owner map
+/// gives to this VM. Comes before the map is in force: a home that answered
+/// without them could let an identity run again.
 /// \param daemon the daemon.
-/// \param before partitions owned before.
 /// \param doc the newer owner map.
-/// \param previous the owner map before, to find whose replica to use.
+/// \param previous the owner map in force, to find whose replica to use.
+void adoptPartitions(Daemon &daemon, const ZoneDocument &doc,
+                     const ZoneDocument &previous);
+
+/// Brings the ledger in line with an owner map that is in force now.
+/// \param daemon the daemon.
+/// \param before partitions owned before.
+/// \param doc the owner map.
 void applyPartitions(Daemon &daemon, const std::set<int> &before,
-                     const ZoneDocument &doc, const ZoneDocument &previous);
+                     const ZoneDocument &doc);
 
 /// Expires overdue entries.
 void tickLedger(Daemon &daemon);
--- a/src/savorylbd/ledger_shards_test.cpp
+++ b/src/savorylbd/ledger_shards_test.cpp
@@ -2,6 +2,9 @@
 #include "savorylb/clock.h"
 
 #include <CppUTest/TestHarness.h>
+#include <atomic>
+#include <string>
+#include <thread>
 
 using namespace savorylb;
 
@@ -77,3 +80,24 @@
   CHECK(begin("old") == OnceVerdict::Unknown);
   CHECK(begin("a@3:new") == OnceVerdict::Go);
 }
+
+// Guards against a new home that answers before it knows what ran: requests
+// arrive while the owner map that gives it a quarantined partition is adopted.
+TEST(LedgerShards, AnswersNothingBeforeAPartitionIsAdopted) {
+  std::atomic<bool> done{false};
+  std::atomic<int> ran{0};
+  std::thread caller([&] {
+    for (int n = 0; !done; ++n)
+      if (begin("old-" + std::to_string(n)) == OnceVerdict::Go)
+        ++ran;
+  });
+  for (int round = 0; round < 3000; ++round) {
+    Doc.Rev = Revision(Doc.Rev.Value + 1);
+    Doc.Partitions[2] = round % 2 == 0 ? VmId("a-2") : Own.Conf.Vm;
+    Doc.QuarantinedAt[2] = 3;
+    applyZoneDocument(Own, Doc, 1);
+  }
+  done = true;
+  caller.join();
+  CHECK_EQUAL(0, ran.load());
+}
--- a/src/savorylbd/membership_state.cpp
+++ b/src/savorylbd/membership_state.cpp
@@ -62,6 +62,10 @@
     std::lock_guard<std::mutex> guard(state.Lock);
     previous = state.Doc;
     before = partitionsOf(daemon, previous);
+  }
+  adoptPartitions(daemon, doc, previous);
+  {
+    std::lock_guard<std::mutex> guard(state.Lock);
     state.Doc = doc;
     if (storeIndex != 0)
       state.DocIndex = storeIndex;
@@ -74,7 +78,7 @@
             {"revision", doc.Rev.Value},
             {"writer", doc.Writer.Value},
             {"members", static_cast<std::int64_t>(doc.Members.size())}});
-  applyPartitions(daemon, before, doc, previous);
+  applyPartitions(daemon, before, doc);
   applyOwnership(daemon);
 }
 
