Keep a slot busy while the target may still run a request that was left

Cause: a slot was free as soon as its request timed out or its caller left, though a target notices the closed connection late or never, so the next request found the target full. An attempt could also outlast its grant: the owner ends it at the longest time of the service, counted from the question, the forwarding VM counted from when it sent.

The forwarding VM closes the connection for sending and waits 100 ms (20 ms after a time-out) for the target to close its side; only that proves that it stopped. Counting all such slots until the deadline was ruled out, since one caller who leaves would hold a slot for two seconds instead of 10 ms. Attempts end with their grant.

cancel.test.sh: targets that work on for good, then for 300 ms, after the connection closed (new option cancel_lag_ms of the stand-in). That an attempt outlasts its grant was found by reading and has no test of its own.

--- a/src/include/savorylb/slot_table.h
+++ b/src/include/savorylb/slot_table.h
@@ -56,12 +56,25 @@
 };
 
 /// How a granted request ended, as its forwarding VM reports it.
-enum class SlotResult { Done, Failed, Shed, TimedOut, Unused };
+enum class SlotResult {
+  Done,
+  Failed,
+  Shed,
+  TimedOut,
+  /// Not sent, or its end says nothing about the target.
+  Unused,
+  /// Timed out, or left for another reason, and the target may still run it.
+  TimedOutBusy,
+  LeftBusy,
+};
 
 /// One owned target and its slots.
 struct OwnedTarget {
   TargetSpec Spec;
   std::map<std::uint64_t, MonoTime> Grants;
+  /// Grants of Grants that were released while the target may still run their
+  /// requests, and when.
+  std::map<std::uint64_t, MonoTime> Left;
   /// Slots that an earlier owner may still be using, and until when.
   int InheritedBusy = 0;
   MonoTime InheritedUntil{};
@@ -128,7 +141,8 @@
                                    const TargetId &avoid, MonoTime expiresAt,
                                    MonoTime now);
 
-/// Returns a slot.
+/// Returns a slot. One whose request may still run stays busy until its expiry
+/// or until a load report measured later shows that fewer requests run.
 /// \returns false when the grant is unknown, such as one that expired.
 bool releaseSlot(SlotTable &table, const TargetId &target, std::uint64_t number,
                  SlotResult result, MonoTime now);
--- a/src/include/savorylb/target_client.h
+++ b/src/include/savorylb/target_client.h
@@ -60,10 +60,13 @@
   std::int64_t BodyBytes = 0;
   /// Bytes of the request body that were sent.
   std::int64_t SentBytes = 0;
-  /// `shed`, `truncated`, `crossed`, `timeout`, `connect`, `cancelled`, `silent`,
+  /// `shed`, `truncated`, `crossed`, `timeout`, `connect`, `cancelled`,
+  /// `silent`,
   /// ...
   std::string Reason;
   Duration Took{};
+  /// The request was left and the target has not shown that it stopped.
+  bool MayRun = false;
 };
 
 /// Receives a response that is too large to buffer: first status and headers,
--- a/src/libsavoryedge/target_client_http.cpp
+++ b/src/libsavoryedge/target_client_http.cpp
@@ -22,6 +22,10 @@
 constexpr Duration MaxConnectTime = Seconds(1);
 /// How often a waiting request looks whether its caller has left.
 constexpr Duration CancelPollInterval = Millis(20);
+/// How long a target may take to show that it stopped a request. At a time-out
+/// the caller waits for it; a caller who left does not.
+constexpr Duration ConfirmTimeout = Millis(20);
+constexpr Duration ConfirmCancel = Millis(100);
 constexpr std::size_t CopyBuffer = 65'536;
 
 struct Attempt {
@@ -192,6 +196,29 @@
     attempt.Session->reset();
 }
 
+/// Ends a request that was left: closes its connection for sending, which
+/// cancels it, and waits a little for the target to close its side.
+void cancelAtTarget(Attempt &attempt) {
+  TargetResponse &response = attempt.Response;
+  bool timedOut = response.Reason == "timeout";
+  if (!timedOut && response.Reason != "cancelled" &&
+      response.Reason != "caller-gone" && response.Reason != "request-cut" &&
+      response.Reason != "silent")
+    return;
+  response.MayRun = true;
+  // After the head of a response, what comes next proves nothing.
+  if (response.Reason == "silent" || response.Status != 0)
+    return;
+  try {
+    attempt.Session->socket().shutdownSend();
+    Duration limit = timedOut ? ConfirmTimeout : ConfirmCancel;
+    response.MayRun = !attempt.Session->socket().poll(
+        Poco::Timespan(limit.count()), Poco::Net::Socket::SELECT_READ);
+  } catch (const Poco::Exception &) {
+    // The connection is gone without a word from the target.
+  }
+}
+
 TargetResponse sendToTarget(ConnectionPool &pool, const TargetRequest &request,
                             const ResponseSink &sink) {
   MonoTime start = monoNow();
@@ -205,6 +232,7 @@
     } catch (const std::exception &) {
       fail(attempt, "connection-lost");
     }
+    cancelAtTarget(attempt);
     bool reusable =
         attempt.Response.Reason.empty() || attempt.Response.Reason == "shed";
     if (reusable && attempt.Session->connected() &&
--- a/src/libsavoryedge/target_client_test.cpp
+++ b/src/libsavoryedge/target_client_test.cpp
@@ -2,6 +2,8 @@
 #include "scripted_server.h"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
+#include <atomic>
 #include <thread>
 
 using namespace savorylb;
@@ -122,6 +124,26 @@
   CHECK(response.Outcome == TargetOutcome::Unknown);
   STRCMP_EQUAL("timeout", response.Reason.c_str());
   CHECK(response.Took < Millis(400));
+  // Guards against reusing the slot of a request that may still run.
+  CHECK(response.MayRun);
+}
+
+// Guards against slots that stay taken although the target stopped the request
+// as soon as it was left.
+TEST(TargetClient, SeesThatALeftRequestStopped) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  std::thread target([&] {
+    Poco::Net::StreamSocket socket = server.acceptConnection();
+    std::array<char, 1024> buf{};
+    while (socket.receiveBytes(buf.data(), buf.size()) > 0)
+      continue;
+  });
+  TargetRequest request = requestTo(server.address().toString());
+  request.Cancelled = [] { return true; };
+  TargetResponse response = makeHttpTargetClient().Send(request, {});
+  target.join();
+  STRCMP_EQUAL("cancelled", response.Reason.c_str());
+  CHECK_FALSE(response.MayRun);
 }
 
 // Guards against a response that stalls in its body and holds the caller beyond
--- a/src/libsavorylb/slot_health.cpp
+++ b/src/libsavorylb/slot_health.cpp
@@ -19,6 +19,25 @@
   return std::min<int>(target.Spec.Slots, 1 + static_cast<int>(more));
 }
 
+/// Frees slots of released requests when fewer than those run at all. Requests
+/// that were left just before the report may not have arrived by then.
+void freeLeft(OwnedTarget &target, const LoadReport &report) {
+  int left = 0;
+  for (const auto &[number, since] : target.Left)
+    if (report.MeasuredAt > since + InheritedSettle)
+      ++left;
+  for (auto it = target.Left.begin();
+       it != target.Left.end() && left > std::max(0, report.Busy);) {
+    if (report.MeasuredAt <= it->second + InheritedSettle) {
+      ++it;
+      continue;
+    }
+    target.Grants.erase(it->first);
+    it = target.Left.erase(it);
+    --left;
+  }
+}
+
 void restore(OwnedTarget &target, MonoTime now) {
   target.Healthy = true;
   target.FailuresInRow = 0;
@@ -68,7 +87,7 @@
 
 void endProbe(OwnedTarget &target, SlotResult result, MonoTime now) {
   target.ProbeGrant = 0;
-  if (result == SlotResult::Unused)
+  if (result == SlotResult::Unused || result == SlotResult::LeftBusy)
     return;
   bool good = result == SlotResult::Done;
   // Each answered probe lets the next one through at once: a target whose
@@ -105,6 +124,7 @@
     it.ProbeAt = now + ProbeDelay;
   if (used.MeasuredAt > it.OwnedSince + InheritedSettle)
     it.InheritedBusy = std::min(it.InheritedBusy, std::max(0, used.Busy));
+  freeLeft(it, used);
   it.Report = used;
 }
 
--- a/src/libsavorylb/slot_table.cpp
+++ b/src/libsavorylb/slot_table.cpp
@@ -126,10 +126,16 @@
   auto granted = it.GrantedAt.find(number);
   if (granted == it.GrantedAt.end())
     return false;
+  bool timedOut =
+      result == SlotResult::TimedOut || result == SlotResult::TimedOutBusy;
   bool failed = result == SlotResult::Failed ||
-                (result == SlotResult::TimedOut &&
-                 now - granted->second >= TimeoutEvidence);
-  forgetGrant(it, number);
+                (timedOut && now - granted->second >= TimeoutEvidence);
+  if (result == SlotResult::TimedOutBusy || result == SlotResult::LeftBusy) {
+    it.GrantedAt.erase(number);
+    it.Left.emplace(number, now);
+  } else {
+    forgetGrant(it, number);
+  }
   if (failed) {
     it.FailedRequests = true;
     countFailure(it, now);
@@ -160,6 +166,7 @@
       std::uint64_t number = it->first;
       it = target.Grants.erase(it);
       target.GrantedAt.erase(number);
+      target.Left.erase(number);
       // Nobody reported how the probe ended, so it proved nothing good.
       if (number == target.ProbeGrant)
         endProbe(target, SlotResult::TimedOut, now);
--- a/src/libsavorylb/slot_table_test.cpp
+++ b/src/libsavorylb/slot_table_test.cpp
@@ -194,3 +194,27 @@
   Now += Millis(1);
   LONGS_EQUAL(4, freeNow());
 }
+
+// Guards against a slot that is granted again while the target still runs the
+// request that was left, and against one that stays taken for good.
+TEST(SlotTable, LeftRequestsKeepTheirSlot) {
+  adopt("a", 2);
+  SlotGrant first = mustGrant();
+  SlotGrant second = mustGrant();
+  finish(first, SlotResult::LeftBusy);
+  finish(second, SlotResult::TimedOutBusy);
+  LONGS_EQUAL(0, freeNow());
+  CHECK_FALSE(
+      releaseSlot(Table, first.Target, first.Number, SlotResult::Done, Now));
+  report("a", 2, 0, Duration(0));
+  LONGS_EQUAL(0, freeNow());
+  Now += InheritedSettle + Millis(20);
+  report("a", 2, 0, Millis(30));
+  LONGS_EQUAL(0, freeNow());
+  report("a", 2, 1, Millis(5));
+  LONGS_EQUAL(1, freeNow());
+  Now += Seconds(1) + SlotExpiryGrace;
+  expireGrants(Table, Now);
+  LONGS_EQUAL(2, freeNow());
+  CHECK(Table.Targets[TargetId("a")].Left.empty());
+}
--- a/src/savorylbd/drain.cpp
+++ b/src/savorylbd/drain.cpp
@@ -26,7 +26,8 @@
   for (const auto &[name, shard] : daemon.Services.Services) {
     std::lock_guard<std::mutex> inner(shard->Lock);
     for (const auto &[target, owned] : shard->Slots.Targets)
-      if (!owned.Grants.empty())
+      // A later owner counts the slots of requests that were left as busy.
+      if (owned.Grants.size() > owned.Left.size())
         return true;
   }
   return false;
--- a/src/savorylbd/peer_messages.cpp
+++ b/src/savorylbd/peer_messages.cpp
@@ -10,8 +10,8 @@
 
 constexpr const char *VerdictNames[] = {
     "go", "in_progress", "done", "unknown", "conflict", "not_home", "refused"};
-constexpr const char *ResultNames[] = {"done", "failed", "shed", "timeout",
-                                       "unused"};
+constexpr const char *ResultNames[] = {
+    "done", "failed", "shed", "timeout", "unused", "timeout-busy", "left-busy"};
 constexpr const char *StateNames[] = {"in_progress", "done", "unknown"};
 
 std::uint64_t toMillis(Duration span) {
--- a/src/savorylbd/request_flow.cpp
+++ b/src/savorylbd/request_flow.cpp
@@ -47,12 +47,12 @@
   if (response.Reason == "shed")
     return SlotResult::Shed;
   if (response.Reason == "timeout")
-    return SlotResult::TimedOut;
+    return response.MayRun ? SlotResult::TimedOutBusy : SlotResult::TimedOut;
   // Neither the caller's leaving nor the connection says anything about the
   // target.
   if (response.Reason == "cancelled" || response.Reason == "caller-gone" ||
       response.Reason == "request-cut" || response.Reason == "silent")
-    return SlotResult::Unused;
+    return response.MayRun ? SlotResult::LeftBusy : SlotResult::Unused;
   return SlotResult::Failed;
 }
 
@@ -60,7 +60,8 @@
   if (response.Outcome == TargetOutcome::Done)
     return response.Status >= 500;
   SlotResult result = slotResult(response);
-  return result == SlotResult::Failed || result == SlotResult::TimedOut;
+  return result == SlotResult::Failed || result == SlotResult::TimedOut ||
+         result == SlotResult::TimedOutBusy;
 }
 
 void noteResponseSize(RequestContext &context, std::int64_t bytes) {
@@ -81,7 +82,10 @@
   request.Headers = context.Headers;
   request.Headers.emplace_back("X-Team", context.Team.Value);
   request.Nonce = randomHex(8);
-  request.Remaining = std::min(timeLeft(context), context.Service->MaxTime);
+  // The owner counts the slot as free soon after the grant's end.
+  request.Remaining =
+      std::min({timeLeft(context), context.Service->MaxTime,
+                std::max(Duration(0), slot.Grant.ExpiresAt - monoNow())});
   request.RequireEcho = context.Service->RequireEcho;
   request.Repeatable = !isOnce(context) && bodyReplayable(context);
   // A retry must not meet a second silent connection.
--- a/src/savorylbd/request_place.cpp
+++ b/src/savorylbd/request_place.cpp
@@ -52,6 +52,7 @@
     }
   }
   PeerAddress owner{view.Name, view.PeerEndpoint};
+  MonoTime askedAt = monoNow();
   SlotAnswer answer = ask(context, owner, query);
   if (!answer.Grant) {
     if (choice.OtherRegion)
@@ -63,6 +64,10 @@
     }
     return false;
   }
+  // The owner cuts the time at the service's longest.
+  answer.Grant->ExpiresAt =
+      std::min(answer.Grant->ExpiresAt,
+               askedAt + std::min(query.Remaining, context.Service->MaxTime));
   result.Slot =
       PlacedSlot{*answer.Grant, owner, view.Region, choice.OtherRegion, bytes};
   return true;
--- a/src/standins/targetstandin/slot_gate.cpp
+++ b/src/standins/targetstandin/slot_gate.cpp
@@ -18,6 +18,8 @@
 }
 
 void SlotGate::freeClosed() {
+  if (KeepClosed)
+    return;
   auto before = Active.size();
   Active.remove_if([](int fd) { return waitForClose(fd, 0); });
   if (Active.size() == before)
@@ -66,6 +68,11 @@
   Freed.notify_all();
 }
 
+void SlotGate::keepClosed(bool on) {
+  std::lock_guard<std::mutex> guard(Lock);
+  KeepClosed = on;
+}
+
 void SlotGate::setSlots(int n) {
   std::lock_guard<std::mutex> guard(Lock);
   Slots = n;
--- a/src/standins/targetstandin/slot_gate.h
+++ b/src/standins/targetstandin/slot_gate.h
@@ -27,6 +27,8 @@
   /// alone.
   void leave(int fd);
 
+  /// Sets whether requests keep their slot when their connection closes.
+  void keepClosed(bool on);
   void setSlots(int n);
   int slots() const;
   int busy() const;
@@ -41,6 +43,7 @@
 
   mutable std::mutex Lock;
   std::condition_variable Freed;
+  bool KeepClosed = false;
   int Slots;
   std::list<int> Active;
   std::list<int> Queue;
--- a/src/standins/targetstandin/target.cpp
+++ b/src/standins/targetstandin/target.cpp
@@ -47,6 +47,7 @@
       {"cross_ppm", number(&F::CrossPpm)},
       {"close_ppm", number(&F::ClosePpm)},
       {"load_lag_ms", number(&F::LoadLagMs)},
+      {"cancel_lag_ms", number(&F::CancelLagMs)},
       {"big_bytes", number(&F::BigBytes)},
       {"fail_status",
        [](F &f, const std::string &v) {
@@ -96,9 +97,10 @@
   }
   std::lock_guard<std::mutex> guard(Lock);
   auto it = setters().find(name);
-  if (it != setters().end())
+  if (it != setters().end()) {
     it->second(Faults, value);
-  else if (name == "version")
+    Gate.keepClosed(Faults.CancelLagMs != 0);
+  } else if (name == "version")
     Spec.Version = value;
   else if (name == "slots")
     Gate.setSlots(Spec.Slots = NumberParser::parse(value));
--- a/src/standins/targetstandin/target_call.cpp
+++ b/src/standins/targetstandin/target_call.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <thread>
 
 using namespace Poco::Net;
 
@@ -154,7 +155,12 @@
   try {
     whole = w.readBody();
     auto micros = std::min(serviceMicros(w.Path), microsUntil(w.Deadline));
+    auto end = Clock::now() + std::chrono::microseconds(micros);
     closed = !whole || waitForClose(w.Fd, micros);
+    auto lag = std::chrono::milliseconds(faults().CancelLagMs);
+    if (closed && lag.count() != 0)
+      std::this_thread::sleep_until(
+          lag.count() < 0 ? end : std::min(end, Clock::now() + lag));
   } catch (const Poco::Exception &) {
     // The connection broke while the body came.
     closed = true;
--- a/src/standins/targetstandin/target_faults.h
+++ b/src/standins/targetstandin/target_faults.h
@@ -37,6 +37,9 @@
   /// "idle" reports no busy slots and twice the slots, "busy" all slots busy.
   std::string LoadLie;
   std::int64_t LoadLagMs = 0;
+  /// Work goes on for this long after its connection was closed; -1 ends it
+  /// only when it is done.
+  std::int64_t CancelLagMs = 0;
   /// Filler bytes in each answer.
   std::int64_t BigBytes = 0;
 };
