Give nothing new to a target whose health endpoint says that it drains

Cause: only the load report and the configuration counted as draining. A health status of draining was a failed probe; three in a row took the target out, and each request that was done in between set the count back, so a target that says it by health alone kept its traffic for good.

The probe tells draining apart from not ready. A draining target gets no new request from the next probe (1 s) on and is not counted as failing.

target_drain.test.sh drains a target of each service by load report, by health and by savoryctl, while others lie (always free, always full) or restart cold. Before: 137 requests later than 3 s at the targets that say it by health alone (seen failing, 8837 requests); the other two ways were in order. After: 0 at all three, 8819 of 8819 done, none refused or uncertain, no target over its slots; the lying and the cold targets stay in use.

--- a/src/include/savorylb/slot_table.h
+++ b/src/include/savorylb/slot_table.h
@@ -85,6 +85,8 @@
   /// Slots the target still takes according to its newest report.
   int ReportedLimit = 0;
   bool Healthy = true;
+  /// The health endpoint says that the target is leaving.
+  bool SaysDraining = false;
   int FailuresInRow = 0;
   MonoTime RetryAt{};
   /// When each grant of Grants was made.
@@ -163,6 +165,10 @@
 void applyHealth(SlotTable &table, const TargetId &target, bool healthy,
                  MonoTime now);
 
+/// Records whether the health endpoint says that the target is leaving; it gets
+/// nothing new until a later probe says otherwise.
+void applyDraining(SlotTable &table, const TargetId &target, bool draining);
+
 /// \returns slots that can be granted now, for one version or for all.
 int freeSlots(const SlotTable &table, const VersionId &version, MonoTime now);
 /// \returns slots of usable targets, busy or not.
--- a/src/include/savorylb/target_client.h
+++ b/src/include/savorylb/target_client.h
@@ -78,14 +78,17 @@
       Start;
 };
 
+/// What a target's health endpoint says.
+enum class TargetHealth { Ready, NotReady, Draining };
+
 /// The edge to targets.
 struct TargetClient {
   std::function<TargetResponse(const TargetRequest &, const ResponseSink &)>
       Send;
   /// Reads the load endpoint of a target.
   std::function<Result<LoadReport>(const std::string &address)> ReadLoad;
-  /// Probes the health endpoint; false means up but not ready.
-  std::function<Result<bool>(const std::string &address)> ProbeHealth;
+  /// Probes the health endpoint.
+  std::function<Result<TargetHealth>(const std::string &address)> ProbeHealth;
 };
 
 } // namespace savorylb
--- a/src/libsavoryedge/target_probe.cpp
+++ b/src/libsavoryedge/target_probe.cpp
@@ -60,12 +60,15 @@
   return report;
 }
 
-Result<bool> probeTargetHealth(const std::string &address) {
+Result<TargetHealth> probeTargetHealth(const std::string &address) {
   auto root = getJson(address, "/health");
   if (!root)
     return root.error();
-  std::string status = root.value().get("status", "").asString();
-  return status == "ready" || status == "cold";
+  const Json::Value &status = root.value()["status"];
+  if (status == "draining")
+    return TargetHealth::Draining;
+  return status == "ready" || status == "cold" ? TargetHealth::Ready
+                                               : TargetHealth::NotReady;
 }
 
 } // namespace savorylb
--- a/src/libsavoryedge/target_probe.h
+++ b/src/libsavoryedge/target_probe.h
@@ -2,7 +2,7 @@
 #define SAVORYLB_LIBSAVORYEDGE_TARGET_PROBE_H
 
 #include "savorylb/error.h"
-#include "savorylb/slot_table.h"
+#include "savorylb/target_client.h"
 
 #include <string>
 
@@ -16,7 +16,7 @@
 /// Reads `GET /health` of a target on a fresh connection.
 /// \param address `host:port`.
 /// \returns whether it takes requests, or why it could not be read.
-Result<bool> probeTargetHealth(const std::string &address);
+Result<TargetHealth> probeTargetHealth(const std::string &address);
 
 } // namespace savorylb
 
--- a/src/libsavorylb/slot_health.cpp
+++ b/src/libsavorylb/slot_health.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 SlotLimit slotLimit(const OwnedTarget &target, Duration warmUp, MonoTime now) {
-  if (target.Spec.Draining || target.Spec.Slots <= 0 ||
+  if (target.Spec.Draining || target.SaysDraining || target.Spec.Slots <= 0 ||
       (target.Report && target.Report->Draining))
     return {};
   if (!target.Healthy)
@@ -128,6 +128,12 @@
   it.Report = used;
 }
 
+void applyDraining(SlotTable &table, const TargetId &target, bool draining) {
+  auto found = table.Targets.find(target);
+  if (found != table.Targets.end())
+    found->second.SaysDraining = draining;
+}
+
 void applyHealth(SlotTable &table, const TargetId &target, bool healthy,
                  MonoTime now) {
   auto found = table.Targets.find(target);
--- a/src/libsavorylb/slot_table_test.cpp
+++ b/src/libsavorylb/slot_table_test.cpp
@@ -134,6 +134,11 @@
   CHECK_FALSE(grant().has_value());
   report("a", 4, 0, Duration(0));
   CHECK(grant().has_value());
+  applyDraining(Table, TargetId("a"), true);
+  applyHealth(Table, TargetId("a"), true, Now);
+  CHECK_FALSE(grant().has_value());
+  applyDraining(Table, TargetId("a"), false);
+  CHECK(grant().has_value());
   TargetSpec leaving = spec("a");
   leaving.Draining = true;
   adoptTarget(Table, leaving, false, Now);
--- a/src/savorylbd/target_probes.cpp
+++ b/src/savorylbd/target_probes.cpp
@@ -29,14 +29,24 @@
   return jobs;
 }
 
+/// A target that leaves works on, so its requests in hand are no failures.
+bool isHealthy(const Result<TargetHealth> &health) {
+  return health && health.value() != TargetHealth::NotReady;
+}
+
 /// \returns true when the target's state changed.
-bool record(ServiceShard &shard, const TargetId &target, bool healthy) {
+bool record(ServiceShard &shard, const TargetId &target,
+            const Result<TargetHealth> &health) {
   std::lock_guard<std::mutex> guard(shard.Lock);
   auto it = shard.Slots.Targets.find(target);
   if (it == shard.Slots.Targets.end())
     return false;
   bool before = it->second.Healthy;
-  applyHealth(shard.Slots, target, healthy, monoNow());
+  // A probe without an answer does not tell whether the target still leaves.
+  if (health)
+    applyDraining(shard.Slots, target,
+                  health.value() == TargetHealth::Draining);
+  applyHealth(shard.Slots, target, isHealthy(health), monoNow());
   return it->second.Healthy != before;
 }
 
@@ -46,10 +56,9 @@
   for (const ProbeJob &it : jobsOf(daemon, worker, workers)) {
     if (daemon.Stopping)
       return;
-    Result<bool> health = daemon.Targets.ProbeHealth(it.Spec.Address);
-    bool healthy = health && health.value();
-    if (record(*it.Shard, it.Spec.Name, healthy))
-      logEvent(healthy ? EventCode::TargetUp : EventCode::TargetDown,
+    Result<TargetHealth> health = daemon.Targets.ProbeHealth(it.Spec.Address);
+    if (record(*it.Shard, it.Spec.Name, health))
+      logEvent(isHealthy(health) ? EventCode::TargetUp : EventCode::TargetDown,
                {{"target", it.Spec.Name.Value},
                 {"reason", health ? "probe" : health.error().Message}});
     if (!health)
