--- a/src/include/savorylb/owned_target.h
+++ b/src/include/savorylb/owned_target.h
@@ -15,6 +15,9 @@
 struct OwnedTarget {
   TargetSpec Spec;
   std::map<std::uint64_t, MonoTime> Grants;
+  /// Grants of Grants that were released while the target may still run their
+  /// requests, and when.
+  std::map<std::uint64_t, MonoTime> Left;
   /// Slots that an earlier owner may still be using, and until when.
   int InheritedBusy = 0;
   MonoTime InheritedUntil{};
@@ -25,6 +28,8 @@
   /// Slots the target still takes according to its newest report.
   int ReportedLimit = 0;
   bool Healthy = true;
+  /// The health endpoint says that the target is leaving.
+  bool SaysDraining = false;
   int FailuresInRow = 0;
   MonoTime RetryAt{};
   /// When each grant of Grants was made.
--- a/src/include/savorylb/slot_table.h
+++ b/src/include/savorylb/slot_table.h
@@ -73,7 +73,8 @@
                                    const TargetId &avoid, MonoTime expiresAt,
                                    MonoTime now);
 
-/// Returns a slot.
+/// Returns a slot. One whose request may still run stays busy until its expiry
+/// or until a load report measured later shows that fewer requests run.
 /// \returns false when the grant is unknown, such as one that expired.
 bool releaseSlot(SlotTable &table, const TargetId &target, std::uint64_t number,
                  SlotResult result, MonoTime now);
@@ -94,6 +95,10 @@
 void applyHealth(SlotTable &table, const TargetId &target, bool healthy,
                  MonoTime now);
 
+/// Records whether the health endpoint says that the target is leaving; it gets
+/// nothing new until a later probe says otherwise.
+void applyDraining(SlotTable &table, const TargetId &target, bool draining);
+
 /// \returns slots that can be granted now, for one version or for all.
 int freeSlots(const SlotTable &table, const VersionId &version, MonoTime now);
 /// \returns slots of usable targets, busy or not.
--- a/src/include/savorylb/target_client.h
+++ b/src/include/savorylb/target_client.h
@@ -6,6 +6,7 @@
 #include "savorylb/ids.h"
 #include "savorylb/response_sink.h"
 #include "savorylb/slot_table.h"
+#include "savorylb/target_health.h"
 #include "savorylb/target_outcome.h"
 #include "savorylb/target_request.h"
 #include "savorylb/target_response.h"
@@ -23,8 +24,8 @@
       Send;
   /// Reads the load endpoint of a target.
   std::function<Result<LoadReport>(const std::string &address)> ReadLoad;
-  /// Probes the health endpoint; false means up but not ready.
-  std::function<Result<bool>(const std::string &address)> ProbeHealth;
+  /// Probes the health endpoint.
+  std::function<Result<TargetHealth>(const std::string &address)> ProbeHealth;
 };
 
 } // namespace savorylb
--- a/src/include/savorylb/target_response.h
+++ b/src/include/savorylb/target_response.h
@@ -26,6 +26,8 @@
   /// ...
   std::string Reason;
   Duration Took{};
+  /// The request was left and the target has not shown that it stopped.
+  bool MayRun = false;
 };
 
 } // namespace savorylb
--- a/src/standins/targetstandin/slot_gate.cpp
+++ b/src/standins/targetstandin/slot_gate.cpp
@@ -26,6 +26,8 @@
 
 void SlotGate::freeClosed() {
   account();
+  if (KeepClosed)
+    return;
   auto before = Active.size();
   Active.remove_if([](int fd) { return waitForClose(fd, 0); });
   if (Active.size() == before)
@@ -76,6 +78,11 @@
   Freed.notify_all();
 }
 
+void SlotGate::keepClosed(bool on) {
+  std::lock_guard<std::mutex> guard(Lock);
+  KeepClosed = on;
+}
+
 void SlotGate::setSlots(int n) {
   std::lock_guard<std::mutex> guard(Lock);
   account();
