--- a/src/include/savorylb/store_listing.h
+++ b/src/include/savorylb/store_listing.h
@@ -13,6 +13,8 @@
 struct StoreListing {
   std::map<std::string, StoreValue> Values;
   std::uint64_t Index = 0;
+  /// The wait ended without a change; Values is empty then.
+  bool Unchanged = false;
 };
 
 } // namespace savorylb
