Compare a bounded number of VMs in each lookup

A lookup rated every VM of the fleet with a logarithm each. The index now keeps the VMs of a region that take new callers in the order of their hashes and whether the region is full. A lookup visits the regions nearest first and stops once the answer cannot change, and in a region of more than 64 such VMs it rates a window of 64 that starts at the caller's place in the order; all VMs are rated when fewer than four of the window have room. Regions of up to 64 VMs give the same answers as before. Within the window the weighted rendezvous hash decides as before, and a VM that joins or leaves moves the window by one or two places.

--- a/src/include/savorylb/lookup_index.h
+++ b/src/include/savorylb/lookup_index.h
@@ -19,13 +19,23 @@
   MonoTime AsOf{};
 };
 
+/// Published slots of the VMs of a region for one service.
+struct IndexedLoads {
+  /// In the order of IndexedRegion::Vms.
+  std::vector<PublishedLoad> OfVms;
+  /// There are slots, and none of them is free.
+  bool Saturated = false;
+};
+
 /// The VMs of one region; draining regions are used last.
 struct IndexedRegion {
   RegionId Name;
   bool Draining = false;
+  /// VMs that take new callers come first, in the order of their hashes.
   std::vector<IndexedVm> Vms;
-  /// Published slots by service, in the order of Vms.
-  std::map<ServiceId, std::vector<PublishedLoad>> Loads;
+  /// Number of VMs that take new callers.
+  std::size_t Usable = 0;
+  std::map<ServiceId, IndexedLoads> Loads;
 };
 
 /// VMs prepared for lookups; rebuilt when heartbeats or a configuration came
@@ -42,6 +52,10 @@
 LookupIndex makeLookupIndex(const Config &config,
                             const std::vector<VmView> &vms);
 
+/// VMs of a region that are compared for one caller, so that a lookup costs the
+/// same in a large fleet; all of them when too few of these have room.
+constexpr std::size_t LookupWindow = 64;
+
 /// Ranks the VMs for a caller, with the same result as lookUp() without index.
 /// \param index the prepared VMs.
 /// \param blocks client blocks.
--- a/src/libsavorylb/lookup.cpp
+++ b/src/libsavorylb/lookup.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
+#include <vector>
 
 namespace savorylb {
 
@@ -95,17 +97,110 @@
 }
 
 // A region whose VMs are all full gets no callers while others have room.
-bool isSaturated(const std::vector<PublishedLoad> *loads) {
+bool isSaturated(const std::vector<PublishedLoad> &loads) {
   int total = 0;
   int freeSlots = 0;
-  if (loads)
-    for (const PublishedLoad &load : *loads) {
-      total += load.TotalSlots;
-      freeSlots += std::max(load.FreeSlots, 0);
-    }
+  for (const PublishedLoad &load : loads) {
+    total += load.TotalSlots;
+    freeSlots += std::max(load.FreeSlots, 0);
+  }
   return total > 0 && freeSlots == 0;
 }
 
+// A region as one caller sees it.
+struct RegionView {
+  const IndexedRegion *Region = nullptr;
+  const std::vector<PublishedLoad> *Loads = nullptr;
+  Duration Distance{};
+  Duration Order{};
+};
+
+std::vector<RegionView> nearestFirst(const LookupIndex &index,
+                                     const SiteSpec *site,
+                                     const ServiceId &service) {
+  auto spill = index.Spill.find(service);
+  bool maySpill = spill == index.Spill.end() || spill->second;
+  std::vector<RegionView> out;
+  out.reserve(index.Regions.size());
+  for (const IndexedRegion &region : index.Regions) {
+    RegionView view;
+    view.Region = &region;
+    view.Distance = site ? UnknownDistance : Duration(0);
+    if (site) {
+      auto distance = site->Distance.find(region.Name);
+      if (distance != site->Distance.end())
+        view.Distance = distance->second;
+    }
+    view.Order = view.Distance;
+    auto found = region.Loads.find(service);
+    if (found != region.Loads.end()) {
+      view.Loads = &found->second.OfVms;
+      if (maySpill && found->second.Saturated)
+        view.Order += SaturationPenalty;
+    }
+    out.push_back(view);
+  }
+  std::stable_sort(out.begin(), out.end(),
+                   [](const RegionView &a, const RegionView &b) {
+                     if (a.Region->Draining != b.Region->Draining)
+                       return b.Region->Draining;
+                     return a.Order < b.Order;
+                   });
+  return out;
+}
+
+// Rates VMs of one region and adds them to the best.
+struct RegionScan {
+  const RegionView &View;
+  std::uint64_t ClientHash;
+  MonoTime Now;
+  BestList &Best;
+  /// Rated VMs that take new callers and have room.
+  std::size_t WithRoom = 0;
+
+  void rate(std::size_t at) {
+    Candidate candidate;
+    candidate.Vm = &View.Region->Vms[at];
+    candidate.Distance = View.Distance;
+    candidate.Order = View.Order;
+    rateVm(candidate, *View.Region, View.Loads ? &(*View.Loads)[at] : nullptr,
+           Now);
+    candidate.Score = spreadScore(candidate.Vm->NameHash, ClientHash,
+                                  std::max(candidate.Headroom, LeastHeadroom));
+    if (candidate.Rank != LastResort && !candidate.Full)
+      ++WithRoom;
+    Best.add(candidate);
+  }
+
+  // The window of a caller starts at its place in the order of hashes. A VM
+  // that joins or leaves moves it by one or two places only, so most callers
+  // keep their VM, and each VM is in equally many windows.
+  void run() {
+    std::size_t usable = View.Region->Usable;
+    std::size_t count = std::min(usable, LookupWindow);
+    std::size_t start =
+        usable > LookupWindow ? (ClientHash >> 32) * usable >> 32 : 0;
+    for (std::size_t i = 0; i < count; ++i)
+      rate((start + i) % usable);
+    if (usable > LookupWindow && WithRoom >= MaxLookupVms)
+      return;
+    for (std::size_t i = count; i < usable; ++i)
+      rate((start + i) % usable);
+    for (std::size_t i = usable; i < View.Region->Vms.size(); ++i)
+      rate(i);
+  }
+};
+
+// The best cannot change any more when all of them take new callers and are
+// nearer than the region.
+bool isDecided(const BestList &best, const RegionView &view) {
+  if (best.Count < best.Items.size())
+    return false;
+  const Candidate &last = best.Items[best.Count - 1];
+  return last.Rank == Good &&
+         (view.Region->Draining || last.Order < view.Order);
+}
+
 std::string describe(const Candidate &best) {
   static const char *const names[] = {"nearest region", "draining region",
                                       "last resort"};
@@ -119,36 +214,14 @@
 LookupAnswer lookUp(const LookupIndex &index, const BlockTable &blocks,
                     const LookupQuery &query, MonoTime now) {
   const SiteSpec *site = findSite(blocks, query.ClientAddress);
-  auto spill = index.Spill.find(query.Service);
-  bool maySpill = spill == index.Spill.end() || spill->second;
   // The whole address is hashed, not only its block: a block may hold most of
   // the callers, and they must not all get the same VM first.
   std::uint64_t clientHash =
       (query.ClientAddress + 1ULL) * 0x9e3779b97f4a7c15ULL;
   BestList best;
-  for (const IndexedRegion &region : index.Regions) {
-    Candidate candidate;
-    candidate.Distance = site ? UnknownDistance : Duration(0);
-    if (site) {
-      auto distance = site->Distance.find(region.Name);
-      if (distance != site->Distance.end())
-        candidate.Distance = distance->second;
-    }
-    candidate.Order = candidate.Distance;
-    auto found = region.Loads.find(query.Service);
-    const auto *loads = found == region.Loads.end() ? nullptr : &found->second;
-    if (maySpill && isSaturated(loads))
-      candidate.Order += SaturationPenalty;
-    for (std::size_t i = 0; i < region.Vms.size(); ++i) {
-      candidate.Vm = &region.Vms[i];
-      candidate.Full = false;
-      rateVm(candidate, region, loads ? &(*loads)[i] : nullptr, now);
-      candidate.Score =
-          spreadScore(candidate.Vm->NameHash, clientHash,
-                      std::max(candidate.Headroom, LeastHeadroom));
-      best.add(candidate);
-    }
-  }
+  for (const RegionView &view : nearestFirst(index, site, query.Service))
+    if (!isDecided(best, view))
+      RegionScan{view, clientHash, now, best}.run();
   LookupAnswer answer;
   for (std::size_t i = 0; i < best.Count; ++i) {
     const Candidate &item = best.Items[i];
@@ -181,19 +254,37 @@
     regionAt(region.Name).Draining = region.Draining;
   for (const ServiceSpec &service : config.Services)
     index.Spill[service.Name] = service.Spill;
-  for (const VmView &vm : vms) {
-    IndexedRegion &region = regionAt(vm.Region);
+  // The views are of about the time of the freshest one.
+  MonoTime newest{};
+  for (const VmView &vm : vms)
+    newest = std::max(newest, vm.AsOf);
+  struct Item {
+    bool Usable;
+    std::uint64_t NameHash;
+    const VmView *Vm;
+  };
+  std::vector<Item> items;
+  items.reserve(vms.size());
+  for (const VmView &vm : vms)
+    items.push_back({!vm.Departing && newest - vm.AsOf <= VmSilenceLimit,
+                     stableHash(vm.Name.Value), &vm});
+  std::sort(items.begin(), items.end(), [](const Item &a, const Item &b) {
+    return a.Usable != b.Usable ? a.Usable : a.NameHash < b.NameHash;
+  });
+  for (const auto &[usable, hash, vm] : items) {
+    IndexedRegion &region = regionAt(vm->Region);
+    region.Usable += usable ? 1 : 0;
     IndexedVm item;
-    item.Answer.Name = vm.Name;
-    item.Answer.CallerEndpoint = vm.CallerEndpoint;
-    item.Answer.Zone = vm.Zone;
-    item.Answer.Region = vm.Region;
-    item.NameHash = stableHash(vm.Name.Value);
-    item.Departing = vm.Departing;
-    item.AsOf = vm.AsOf;
+    item.Answer.Name = vm->Name;
+    item.Answer.CallerEndpoint = vm->CallerEndpoint;
+    item.Answer.Zone = vm->Zone;
+    item.Answer.Region = vm->Region;
+    item.NameHash = hash;
+    item.Departing = vm->Departing;
+    item.AsOf = vm->AsOf;
     region.Vms.push_back(std::move(item));
-    for (const auto &load : vm.Loads) {
-      auto &loads = region.Loads[load.first.first];
+    for (const auto &load : vm->Loads) {
+      auto &loads = region.Loads[load.first.first].OfVms;
       loads.resize(region.Vms.size());
       loads.back().FreeSlots += load.second.FreeSlots;
       loads.back().TotalSlots += load.second.TotalSlots;
@@ -201,8 +292,10 @@
     }
   }
   for (IndexedRegion &region : index.Regions)
-    for (auto &loads : region.Loads)
-      loads.second.resize(region.Vms.size());
+    for (auto &[service, loads] : region.Loads) {
+      loads.OfVms.resize(region.Vms.size());
+      loads.Saturated = isSaturated(loads.OfVms);
+    }
   return index;
 }
 
--- a/src/libsavorylb/lookup_test.cpp
+++ b/src/libsavorylb/lookup_test.cpp
@@ -134,3 +134,61 @@
   Conf.Regions[1].Draining = true;
   STRCMP_EQUAL("tema", ask().Vms[0].Region.Value.c_str());
 }
+
+TEST_GROUP_BASE(LookupLarge, TEST_GROUP_CppUTestGroupLookup){
+    void setup() override{TEST_GROUP_CppUTestGroupLookup::setup();
+Vms.clear();
+for (int i = 0; i < 860; ++i)
+  addVm("t" + std::to_string(i), 3);
+}
+
+/// The first choice of each caller.
+std::vector<std::string> choices(std::uint32_t clients = 172'000) {
+  std::vector<std::string> out;
+  LookupIndex index = makeLookupIndex(Conf, Vms);
+  for (std::uint32_t client = 0; client < clients; ++client)
+    out.push_back(lookUp(index, Blocks, {Tiles, client * 7919}, Now)
+                      .Vms.at(0)
+                      .Name.Value);
+  return out;
+}
+}
+;
+
+// Guards against VMs of a large region that get many callers or none, since a
+// lookup compares only some of them.
+TEST(LookupLarge, CallersSpreadOverAllVms) {
+  std::map<std::string, int> counts;
+  for (const std::string &it : choices())
+    ++counts[it];
+  LONGS_EQUAL(860, counts.size());
+  // 200 each on average.
+  for (const auto &[name, number] : counts)
+    CHECK_TEXT(number > 100 && number < 300, name.c_str());
+}
+
+// Guards against cached answers that all move when one VM leaves.
+TEST(LookupLarge, FewCallersMoveWhenOneVmLeaves) {
+  std::vector<std::string> before = choices();
+  Vms[77].Departing = true;
+  std::vector<std::string> after = choices();
+  int moved = 0;
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    moved += before[i] != after[i];
+    CHECK(after[i] != "t77");
+  }
+  CHECK(moved < 172'000 / 20);
+}
+
+// Guards against full or silent VMs chosen while few others have room.
+TEST(LookupLarge, FewVmsWithRoomAreFound) {
+  for (std::size_t i = 0; i < Vms.size(); ++i) {
+    Vms[i].Loads[{Tiles, VersionId("v1")}].FreeSlots = 0;
+    if (i % 2)
+      Vms[i].AsOf = Now - Millis(3001);
+  }
+  for (std::size_t i : {100U, 500U})
+    Vms[i].Loads[{Tiles, VersionId("v1")}].FreeSlots = 3;
+  for (const std::string &it : choices(20'000))
+    CHECK(it == "t100" || it == "t500");
+}
