--- a/src/include/savorylb/block_parts.h
+++ b/src/include/savorylb/block_parts.h
@@ -2,6 +2,8 @@
 #define SAVORYLB_BLOCK_PARTS_H
 
 #include "savorylb/block_entry.h"
+#include "savorylb/block_index.h"
+#include "savorylb/block_part.h"
 #include "savorylb/finding.h"
 #include "savorylb/ids.h"
 #include "savorylb/units.h"
@@ -12,20 +14,6 @@
 
 namespace savorylb {
 
-/// Client blocks of one document; the blocks name their sites by number.
-struct BlockPart {
-  Revision Rev;
-  std::vector<SiteId> Sites;
-  std::vector<BlockEntry> Blocks;
-};
-
-/// Names the parts that are in force together.
-struct BlockIndex {
-  Revision Rev;
-  /// Least revision of each part.
-  std::vector<Revision> Parts;
-};
-
 /// Largest document of a part; the store takes values up to 1 MB.
 constexpr std::size_t MaxPartBytes = 900'000;
 /// The number of parts is a power of two up to this one.
--- a/src/include/savorylb/indexed_region.h
+++ b/src/include/savorylb/indexed_region.h
@@ -2,9 +2,10 @@
 #define SAVORYLB_INDEXED_REGION_H
 
 #include "savorylb/ids.h"
+#include "savorylb/indexed_loads.h"
 #include "savorylb/indexed_vm.h"
-#include "savorylb/published_load.h"
 
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -14,9 +15,11 @@
 struct IndexedRegion {
   RegionId Name;
   bool Draining = false;
+  /// VMs that take new callers come first, in the order of their hashes.
   std::vector<IndexedVm> Vms;
-  /// Published slots by service, in the order of Vms.
-  std::map<ServiceId, std::vector<PublishedLoad>> Loads;
+  /// Number of VMs that take new callers.
+  std::size_t Usable = 0;
+  std::map<ServiceId, IndexedLoads> Loads;
 };
 
 } // namespace savorylb
--- a/src/include/savorylb/lookup_index.h
+++ b/src/include/savorylb/lookup_index.h
@@ -3,6 +3,7 @@
 
 #include "savorylb/block_table.h"
 #include "savorylb/config.h"
+#include "savorylb/indexed_loads.h"
 #include "savorylb/indexed_region.h"
 #include "savorylb/indexed_vm.h"
 #include "savorylb/lookup.h"
@@ -27,6 +28,10 @@
 LookupIndex makeLookupIndex(const Config &config,
                             const std::vector<VmView> &vms);
 
+/// VMs of a region that are compared for one caller, so that a lookup costs the
+/// same in a large fleet; all of them when too few of these have room.
+constexpr std::size_t LookupWindow = 64;
+
 /// Ranks the VMs for a caller, with the same result as lookUp() without index.
 /// \param index the prepared VMs.
 /// \param blocks client blocks.
--- a/src/savorylbd/document_state.h
+++ b/src/savorylbd/document_state.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_SAVORYLBD_DOCUMENT_STATE_H
 
 #include "block_state.h"
+#include "document_order.h"
 #include "document_source.h"
 #include "savorylb/document_cache.h"
 #include "savorylb/units.h"
@@ -23,8 +24,6 @@
 inline constexpr char ZonesPrefix[] = "savory/v1/zones/";
 inline constexpr char RolloutsPrefix[] = "savory/v1/rollouts/";
 
-/// Order in which documents that arrive together are adopted.
-enum class DocumentOrder { Rollouts, Config, Others };
 inline constexpr DocumentOrder AllDocumentOrders[] = {
     DocumentOrder::Rollouts, DocumentOrder::Config, DocumentOrder::Others};
 
