Answer "not-ready" while a VM has no configuration or keys

Cause: a daemon that has just started answered 404 "no-route" before it had read the configuration and 401 "unknown-key" before it had read the keys. Callers take both for the answer of all VMs. Now it answers 503 "not-ready" (not run), which callers try elsewhere.

Test: testsuite/not_ready.test.sh starts one daemon without a store and without seeds. Before the change 404 "no-route" with and without a key; after it 503 "not-ready" (one run each). The case of a configuration without keys has no test of its own.

--- a/src/savorylbd/request_parse.cpp
+++ b/src/savorylbd/request_parse.cpp
@@ -156,6 +156,9 @@
     context.Team = service.OpenTeam;
     return std::nullopt;
   }
+  // A VM that has just started cannot deny a key.
+  if (!key.empty() && context.Current->Keys.Rev == Revision(0))
+    return refuse(503, "not-ready", "this VM has no keys yet");
   if (key.empty())
     return refuse(401, "no-key", "this service needs an X-Tenant-Key header");
   return refuse(401, "unknown-key", "the key is not in force");
@@ -198,6 +201,8 @@
   context.ArrivedAt = monoNow();
   context.Deadline = context.ArrivedAt + context.Owner.Conf.DefaultDeadline;
   context.Current = currentSnapshot(context.Owner);
+  if (context.Current->Conf.Rev == Revision(0))
+    return refuse(503, "not-ready", "this VM has no configuration yet");
   if (auto refusal = parsePath(request, context))
     return refusal;
   if (auto refusal = parseDeadline(request, context))
