Say unknown when the home is lost after an attempt was seen in progress

Cause: while a repeat polled an attempt in progress and its home then became unreachable, the refusal rested on the caller's attempt number alone, so a caller that numbers each connection's first attempt 1 was told not-run for a request that may have run. The same held for a home that could not replicate. Ruled out: other verdicts, which end the polling.

--- a/src/savorylbd/request_once.cpp
+++ b/src/savorylbd/request_once.cpp
@@ -1,5 +1,6 @@
 #include "request_once.h"
 
+#include "once_reply.h"
 #include "savorylb/clock.h"
 #include "savorylb/digest.h"
 #include "stage_timer.h"
@@ -60,69 +61,6 @@
   return callBegin(daemon, vm, home.Zone, query);
 }
 
-Refusal unreachable(const RequestContext &context) {
-  Refusal refusal;
-  refusal.Reason = "home-unreachable";
-  refusal.Detail = "the VM that keeps this identity cannot be reached";
-  // An earlier attempt may have run, unless the caller says that this is the
-  // first.
-  refusal.NotRun = context.Attempt == 1;
-  refusal.Status = refusal.NotRun ? 503 : 504;
-  return refusal;
-}
-
-Refusal plain(int status, bool notRun, const char *reason, const char *detail) {
-  Refusal refusal;
-  refusal.Status = status;
-  refusal.NotRun = notRun;
-  refusal.Reason = reason;
-  refusal.Detail = detail;
-  return refusal;
-}
-
-/// What one reply of the home VM means for the request.
-enum class NextMove { Finish, PollAgain, TryHomeAgain };
-
-NextMove judgeReply(const RemoteBegin &reply, OnceStart &start,
-                    const RequestContext &context) {
-  if (!reply.Reached) {
-    start.Refused = unreachable(context);
-    return NextMove::TryHomeAgain;
-  }
-  switch (reply.Begin.Verdict) {
-  case OnceVerdict::Go:
-    return NextMove::Finish;
-  case OnceVerdict::Done:
-    if (reply.Begin.Answer.BodyKept)
-      start.Answer = reply.Begin.Answer;
-    else
-      start.Refused = plain(504, false, "answer-not-kept",
-                            "it ran, but its response was too large to keep");
-    return NextMove::Finish;
-  case OnceVerdict::InProgress:
-    start.Refused =
-        plain(504, false, "in-progress", "an earlier attempt has not ended");
-    return NextMove::PollAgain;
-  case OnceVerdict::Unknown:
-    start.Refused =
-        plain(504, false, "outcome-unknown",
-              "an earlier attempt may have run; it is not run again");
-    return NextMove::Finish;
-  case OnceVerdict::Conflict:
-    start.Refused = plain(409, true, "identity-conflict",
-                          "this identity belongs to another request");
-    return NextMove::Finish;
-  case OnceVerdict::NotHome:
-    start.Refused = unreachable(context);
-    return NextMove::TryHomeAgain;
-  case OnceVerdict::Refused:
-    start.Refused = plain(503, true, "not-replicated",
-                          "the identity could not be recorded twice");
-    return NextMove::TryHomeAgain;
-  }
-  return NextMove::Finish;
-}
-
 } // namespace
 
 OnceStart startOnce(RequestContext &context) {
@@ -135,7 +73,8 @@
                          homeZones(context));
   query.Partition = home.Partition;
   OnceStart start;
-  start.Refused = unreachable(context);
+  start.Refused = homeUnreachable(context, false);
+  bool seenInProgress = false;
   MonoTime giveUpHome = monoNow() + HomePatience;
   Duration pause = FirstPoll;
   while (true) {
@@ -144,11 +83,11 @@
       return start;
     PeerAddress vm = findHomeVm(context.Owner, home);
     RemoteBegin reply = askHome(context, home, vm, query);
-    NextMove move = judgeReply(reply, start, context);
+    OnceMove move = judgeReply(reply, start, context, seenInProgress);
     if (reply.Reached && reply.Begin.Verdict == OnceVerdict::Go)
       start.Permit = OncePermit{home, vm, reply.Begin.Number};
-    if (move == NextMove::Finish ||
-        (move == NextMove::TryHomeAgain && monoNow() >= giveUpHome))
+    if (move == OnceMove::Finish ||
+        (move == OnceMove::TryHomeAgain && monoNow() >= giveUpHome))
       return start;
     std::this_thread::sleep_for(std::min(pause, timeLeft(context)));
     pause = std::min(pause * 2, LongestPoll);
