--- a/src/include/savorylb/target_response.h
+++ b/src/include/savorylb/target_response.h
@@ -22,8 +22,8 @@
   std::int64_t BodyBytes = 0;
   /// Bytes of the request body that were sent.
   std::int64_t SentBytes = 0;
-  /// `shed`, `truncated`, `crossed`, `timeout`, `connect`, `cancelled`, `silent`,
-  /// ...
+  /// `shed`, `truncated`, `crossed`, `timeout`, `connect`, `cancelled`,
+  /// `silent`, ...
   std::string Reason;
   Duration Took{};
   /// The request was left and the target has not shown that it stopped.
--- a/src/replay/once_ledgers.cpp
+++ b/src/replay/once_ledgers.cpp
@@ -4,8 +4,8 @@
 #include "once_world.h"
 
 #include <algorithm>
-#include <optional>
 #include <memory>
+#include <optional>
 
 namespace savorylb::replay {
 namespace {
