Let checks read pipes again

Cause of the red keys test: check() had learnt to fail on an empty file by its size, and the size of a pipe is 0, so that 44 checks on counts failed. It now reads the input first and fails when that is empty.

--- a/testsuite/fleet.sh
+++ b/testsuite/fleet.sh
@@ -151,8 +151,10 @@
 
 # check DESCRIPTION JQ_CONDITION FILE: prints the figures when it fails.
 check() {
-  # jq succeeds on an empty file.
-  if [ -s "$3" ] && jq -e "$2" "$3" > /dev/null 2>&1; then
+  local input
+  # The file may be a pipe, and jq succeeds on an empty input.
+  input=$(cat "$3" 2> /dev/null)
+  if [ -n "$input" ] && jq -e "$2" <<< "$input" > /dev/null 2>&1; then
     echo "ok: $1"
   else
     echo "FAILED: $1: $2"
