--- a/src/savorylbd/service_shard.cpp
+++ b/src/savorylbd/service_shard.cpp
@@ -10,6 +10,14 @@
 namespace savorylb {
 namespace {
 
+/// Time that a queued request must have left for its service, in percent of the
+/// expected service time, which is a mean and leaves out the way to the target.
+constexpr int ServiceTimeReserve = 125;
+
+Duration serviceReserve(const ServiceShard &shard) {
+  return shard.Queue.ServiceTime * ServiceTimeReserve / 100;
+}
+
 std::chrono::microseconds untilTime(MonoTime at) {
   return std::max(Duration(0), at - monoNow());
 }
@@ -36,8 +44,11 @@
   auto it = shard.Waiters.find(next->Ticket);
   if (it == shard.Waiters.end())
     return true;
-  std::optional<SlotGrant> grant = grantSlot(
-      shard.Slots, next->Version, TargetId(), it->second->ExpiresAt, now);
+  std::optional<SlotGrant> grant;
+  // The expected service time may have grown since the request was queued.
+  if (now + serviceReserve(shard) <= it->second->ExpiresAt)
+    grant = grantSlot(shard.Slots, next->Version, TargetId(),
+                      it->second->ExpiresAt, now);
   finishWaiter(shard, next->Ticket, std::move(grant));
   return true;
 }
@@ -81,7 +92,7 @@
   request.Version = query.Version;
   request.EnqueuedAt = now;
   // A request that gets its slot later would run into its deadline there.
-  Duration latest = query.Remaining - shard.Queue.ServiceTime;
+  Duration latest = query.Remaining - serviceReserve(shard);
   request.GiveUpAt =
       now + std::max(Duration(0), std::min(query.MaxWait, latest));
   EnqueueResult queued = enqueueRequest(shard.Queue, request, slots, now);
