--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -12,6 +12,8 @@
   DrainStarted = 1003,
   DaemonStopped = 1004,
   PauseNoticed = 1005,
+  SettingsReloaded = 1006,
+  LogLinesLeftOut = 1007,
   // Requests and placement.
   LookupAnswered = 2001,
   RequestDone = 2002,
@@ -43,17 +45,24 @@
   KeysStale = 4007,
   KeysFresh = 4008,
   BlocksInForce = 4009,
+  StoreWrite = 4010,
+  ConfigInForce = 4011,
+  PeerDocumentsAdopted = 4012,
   // Rollouts.
   RolloutStepped = 5001,
   RolloutStopped = 5002,
   RolloutTakenBack = 5003,
   RolloutDone = 5004,
   RolloutLate = 5005,
+  RolloutOrdered = 5006,
   // Targets and peers.
   TargetDown = 6001,
   TargetUp = 6002,
   PeerDown = 6003,
   PeerUp = 6004,
+  EvacuationStarted = 6005,
+  EvacuationEnded = 6006,
+  TargetRejected = 6007,
 };
 
 /// \returns the event's name as the log and the catalogue have it.
--- a/src/include/savorylb/event_log.h
+++ b/src/include/savorylb/event_log.h
@@ -20,6 +20,17 @@
 /// \param vm name written on each line.
 void openEventLog(const std::string &file, const std::string &vm);
 
+/// Opens the event log on standard output, for processes that must not wait
+/// for whoever reads it. Lines are kept until flushEventStream; what does not
+/// fit is left out and counted.
+/// \param vm name written on each line.
+/// \param linesPerSecond lines on finished requests above this are left out;
+///        all other lines are kept.
+void openEventStream(const std::string &vm, int linesPerSecond);
+
+/// Writes what standard output takes without waiting.
+void flushEventStream();
+
 /// Writes out what is still buffered, before the process ends.
 void closeEventLog();
 
--- /dev/null
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -0,0 +1,158 @@
+#include "http_reader.h"
+
+#include <algorithm>
+#include <ostream>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/verb.hpp>
+
+namespace savorylb {
+
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+using ParseError = boost::beast::error_code;
+
+struct HttpReader::Parser {
+  virtual ~Parser() = default;
+  virtual std::size_t put(const std::string &buffer, ParseError &ec) = 0;
+  virtual void putEnd(ParseError &ec) = 0;
+  virtual bool done() const = 0;
+  virtual bool headDone() const = 0;
+  virtual bool keepAlive() const = 0;
+  virtual void skipBody() = 0;
+
+  HttpMessage Message;
+  ReadFault Fault = ReadFault::None;
+  bool Started = false;
+  /// Both a length and an encoding, or two lengths, were given.
+  bool HasLength = false;
+  bool HasEncoding = false;
+};
+
+template <bool IsRequest>
+struct HttpReader::TypedParser : Parser, http::basic_parser<IsRequest> {
+  using Base = http::basic_parser<IsRequest>;
+
+  std::size_t put(const std::string &buffer, ParseError &ec) override {
+    return Base::put(boost::asio::buffer(buffer), ec);
+  }
+  void putEnd(ParseError &ec) override { Base::put_eof(ec); }
+  bool done() const override { return Base::is_done(); }
+  bool headDone() const override { return Base::is_header_done(); }
+  bool keepAlive() const override { return Base::keep_alive(); }
+  void skipBody() override { Base::skip(true); }
+
+  void on_request_impl(http::verb, string_view method, string_view target,
+                       int version, ParseError &ec) override {
+    Message.Method.assign(method.data(), method.size());
+    Message.Path.assign(target.data(), target.size());
+    if (version != 10 && version != 11)
+      ec = http::error::bad_version;
+  }
+  void on_response_impl(int code, string_view reason, int version,
+                        ParseError &ec) override {
+    Message.Status = code;
+    Message.Reason.assign(reason.data(), reason.size());
+    if (version != 10 && version != 11)
+      ec = http::error::bad_version;
+  }
+  void on_field_impl(http::field field, string_view name, string_view value,
+                     ParseError &ec) override {
+    bool length = field == http::field::content_length;
+    bool encoding = field == http::field::transfer_encoding;
+    // Two lengths, or a length and an encoding, are read differently by
+    // different programs.
+    if ((length && (HasLength || HasEncoding)) ||
+        (encoding && (HasLength || HasEncoding)))
+      ec = http::error::bad_content_length;
+    HasLength |= length;
+    HasEncoding |= encoding;
+    Message.Fields.emplace_back(std::string(name.data(), name.size()),
+                                std::string(value.data(), value.size()));
+  }
+  void on_header_impl(ParseError &) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t> &length,
+                         ParseError &) override {
+    // Bodies of usual size are read without copies; larger ones grow.
+    constexpr std::uint64_t ReserveMost = 1 << 20;
+    if (length)
+      Message.Body.reserve(std::min(*length, ReserveMost));
+  }
+  std::size_t on_body_impl(string_view body, ParseError &) override {
+    Message.Body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, ParseError &) override {
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view body,
+                                 ParseError &) override {
+    Message.Body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(ParseError &) override {}
+};
+
+HttpReader::HttpReader(Kind kind, std::int64_t maxHeaderBytes,
+                       std::int64_t maxBodyBytes) {
+  auto prepare = [&](auto parser) {
+    parser->header_limit(static_cast<std::uint32_t>(maxHeaderBytes));
+    parser->body_limit(static_cast<std::uint64_t>(maxBodyBytes));
+    parser->eager(true);
+    return parser;
+  };
+  if (kind == Kind::Request)
+    Impl = prepare(std::make_unique<TypedParser<true>>());
+  else
+    Impl = prepare(std::make_unique<TypedParser<false>>());
+}
+
+HttpReader::~HttpReader() = default;
+HttpReader::HttpReader(HttpReader &&) noexcept = default;
+HttpReader &HttpReader::operator=(HttpReader &&) noexcept = default;
+
+void HttpReader::expectNoBody() { Impl->skipBody(); }
+
+ReadState HttpReader::read(std::string &buffer) {
+  while (!Impl->done() && !buffer.empty()) {
+    ParseError ec;
+    std::size_t n = Impl->put(buffer, ec);
+    Impl->Started = true;
+    buffer.erase(0, n);
+    if (ec == http::error::need_more) {
+      if (n == 0)
+        break;
+      continue;
+    }
+    if (ec) {
+      Impl->Fault = ec == http::error::header_limit ? ReadFault::HeaderTooLarge
+                    : ec == http::error::body_limit ? ReadFault::BodyTooLarge
+                                                    : ReadFault::Malformed;
+      return ReadState::Invalid;
+    }
+    if (n == 0)
+      break;
+  }
+  if (!Impl->done())
+    return ReadState::NeedMore;
+  Impl->Message.KeepAlive = Impl->keepAlive();
+  return ReadState::Complete;
+}
+
+ReadState HttpReader::readEnd() {
+  ParseError ec;
+  Impl->putEnd(ec);
+  if (ec || !Impl->done()) {
+    Impl->Fault = ReadFault::Malformed;
+    return ReadState::Invalid;
+  }
+  Impl->Message.KeepAlive = false;
+  return ReadState::Complete;
+}
+
+bool HttpReader::headComplete() const { return Impl->headDone(); }
+bool HttpReader::started() const { return Impl->Started; }
+ReadFault HttpReader::fault() const { return Impl->Fault; }
+HttpMessage &HttpReader::message() { return Impl->Message; }
+
+} // namespace savorylb
--- a/src/libsavoryedge/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -4,6 +4,24 @@
 
 const char *eventName(EventCode code) {
   switch (code) {
+  case EventCode::SettingsReloaded:
+    return "settings_reloaded";
+  case EventCode::LogLinesLeftOut:
+    return "log_lines_left_out";
+  case EventCode::StoreWrite:
+    return "store_write";
+  case EventCode::ConfigInForce:
+    return "config_in_force";
+  case EventCode::PeerDocumentsAdopted:
+    return "peer_documents_adopted";
+  case EventCode::RolloutOrdered:
+    return "rollout_ordered";
+  case EventCode::EvacuationStarted:
+    return "evacuation_started";
+  case EventCode::EvacuationEnded:
+    return "evacuation_ended";
+  case EventCode::TargetRejected:
+    return "target_rejected";
   case EventCode::DaemonStarted:
     return "daemon_started";
   case EventCode::DaemonReady:
--- a/src/libsavoryedge/event_log.cpp
+++ b/src/libsavoryobserve/event_log.cpp
@@ -9,6 +9,8 @@
 #include <easylogging++.h>
 
 #include <cstdio>
+#include <fcntl.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -19,6 +21,21 @@
 /// Tests of the daemon's parts run without a log.
 bool LogOpen = false;
 
+/// Bytes kept while standard output is not read; about 2,000 lines.
+constexpr std::size_t MaxPending = 1 << 20;
+
+/// Lines on their way to standard output.
+struct EventStream {
+  bool Open = false;
+  int LinesPerSecond = 0;
+  std::string Pending;
+  std::int64_t Second = 0;
+  int LinesThisSecond = 0;
+  std::int64_t LeftOut = 0;
+};
+
+EventStream Stream;
+
 void appendString(std::string &out, const std::string &text) {
   out += '"';
   for (unsigned char c : text) {
@@ -50,6 +67,23 @@
   }
 }
 
+/// \returns whether a line may be written; counts it.
+bool hasRoom(EventCode code) {
+  bool bounded = code == EventCode::RequestDone;
+  std::int64_t second = wallNow().time_since_epoch().count() / 1000;
+  if (second != Stream.Second) {
+    Stream.Second = second;
+    Stream.LinesThisSecond = 0;
+  }
+  if (Stream.Pending.size() > MaxPending ||
+      (bounded && Stream.LinesThisSecond >= Stream.LinesPerSecond)) {
+    ++Stream.LeftOut;
+    return false;
+  }
+  ++Stream.LinesThisSecond;
+  return true;
+}
+
 } // namespace
 
 void openEventLog(const std::string &file, const std::string &vm) {
@@ -67,8 +101,33 @@
   el::Loggers::reconfigureAllLoggers(conf);
 }
 
+void openEventStream(const std::string &vm, int linesPerSecond) {
+  VmName = vm;
+  LogOpen = true;
+  Stream.Open = true;
+  Stream.LinesPerSecond = linesPerSecond;
+  int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void flushEventStream() {
+  if (Stream.LeftOut > 0 && Stream.Pending.size() < MaxPending / 2) {
+    std::int64_t n = Stream.LeftOut;
+    Stream.LeftOut = 0;
+    logEvent(EventCode::LogLinesLeftOut, {{"lines", n}});
+  }
+  while (!Stream.Pending.empty()) {
+    ssize_t n =
+        write(STDOUT_FILENO, Stream.Pending.data(), Stream.Pending.size());
+    if (n <= 0)
+      return; // Not read at the moment; the lines stay until the next flush.
+    Stream.Pending.erase(0, static_cast<std::size_t>(n));
+  }
+}
+
 void logEvent(EventCode code, const EventFields &fields) {
-  if (!LogOpen)
+  if (!LogOpen || (Stream.Open && !hasRoom(code)))
     return;
   std::string line = "{\"time_ms\":";
   line += std::to_string(wallNow().time_since_epoch().count());
@@ -85,10 +144,19 @@
     appendValue(line, value);
   }
   line += '}';
+  if (Stream.Open) {
+    Stream.Pending += line;
+    Stream.Pending += '\n';
+    return;
+  }
   LOG(INFO) << line;
 }
 
 void closeEventLog() {
+  if (Stream.Open) {
+    flushEventStream();
+    return;
+  }
   if (LogOpen)
     el::Loggers::flushAll();
 }
--- /dev/null
+++ b/src/libsavorysteer/steering_state.cpp
@@ -0,0 +1,408 @@
+#include "steering_state.h"
+
+#include <algorithm>
+
+namespace savorylb {
+namespace {
+
+/// Round trips before any connection was measured.
+constexpr double SameZoneMs = 1;
+constexpr double SameRegionMs = 4;
+constexpr double OtherRegionMs = 50;
+/// Part of one connection in the smoothed round trip.
+constexpr double RoundTripWeight = 0.1;
+/// Expected work before any response, as a part of the latency target.
+constexpr double FirstWorkPart = 0.6;
+/// Part of one response in the smoothed work time.
+constexpr double WorkWeight = 0.05;
+/// A suspended target is tried again after this time when no newer entries
+/// can come because the store is away.
+constexpr Duration SuspensionWithoutStore = Millis(2000);
+/// Retry delay when the VM has no configuration or a service has no target.
+constexpr Duration UnknownRetryAfter = Millis(500);
+
+RegionId regionOf(const SteeringState &state, const ZoneId &zone) {
+  auto it = state.Zones.find(zone);
+  return it == state.Zones.end() ? RegionId() : it->second;
+}
+
+double roundTripMs(const SteeringState &state, const TargetState &target) {
+  auto it = state.RoundTripMs.find(target.Entry.Zone);
+  if (it != state.RoundTripMs.end())
+    return it->second;
+  const VmEntry &self = state.Fleet.Self;
+  if (target.Entry.Zone == self.Zone)
+    return SameZoneMs;
+  return target.Region == self.Region ? SameRegionMs : OtherRegionMs;
+}
+
+/// Draws a split so that each gets its part over few requests.
+ServiceId drawSplit(SteeringState &state, const RouteRule &route) {
+  if (route.Splits.size() == 1)
+    return route.Splits.front().Service;
+  double sum = 0;
+  for (const RouteSplit &it : route.Splits)
+    sum += it.Weight;
+  auto &credit = state.SplitCredit[route.Id];
+  const RouteSplit *best = nullptr;
+  for (const RouteSplit &it : route.Splits) {
+    credit[it.Service] += sum > 0 ? it.Weight / sum : 1;
+    if (!best || credit[it.Service] > credit[best->Service])
+      best = &it;
+  }
+  credit[best->Service] -= 1;
+  return best->Service;
+}
+
+/// Which versions of a service a request may use.
+struct VersionRule {
+  /// Only this one, when not empty.
+  VersionId Only;
+  /// Not this one, when not empty.
+  VersionId Never;
+  /// Only some of the version's targets.
+  bool FewTargets = false;
+};
+
+VersionId commonVersion(const SteeringState &state, const ServiceId &service) {
+  std::map<VersionId, int> counts;
+  for (const auto &[id, target] : state.Targets)
+    if (target.Entry.Service == service)
+      ++counts[target.Entry.Version];
+  VersionId best;
+  for (const auto &[version, n] : counts)
+    if (best.empty() || n > counts[best])
+      best = version;
+  return best;
+}
+
+VersionRule versionRule(SteeringState &state, ServiceState &service,
+                        SteeredRequest &request, MonoTime now) {
+  VersionRule rule;
+  if (rolloutRuns(service)) {
+    const VersionId &candidate = service.Order->Version;
+    rule.Never = candidate;
+    if (service.CandidateBad)
+      return rule;
+    RolloutStep step =
+        planRollout(now - service.OrderedAt, service.Order->Window);
+    if (!request.CandidateDrawn) {
+      request.CandidateDrawn = true;
+      service.CandidateCredit += step.Share;
+      request.Candidate = service.CandidateCredit >= 1;
+      if (request.Candidate)
+        service.CandidateCredit -= 1;
+    }
+    if (request.Candidate)
+      rule = {candidate, VersionId(), step.FewTargets};
+    return rule;
+  }
+  if (service.Status.State == RolloutState::Completed) {
+    rule.Only = service.Status.Version;
+    return rule;
+  }
+  if (service.Status.State == RolloutState::RolledBack)
+    rule.Never = service.Status.Version;
+  else if (service.Usual.empty())
+    service.Usual = commonVersion(state, request.Service);
+  if (rule.Never.empty())
+    rule.Only = service.Usual;
+  return rule;
+}
+
+/// A trial uses this part of the new version's targets, at least one.
+constexpr double TrialTargets = 0.13;
+
+void keepFew(std::vector<PlacementCandidate> &candidates) {
+  std::size_t n = std::max<std::size_t>(
+      1, static_cast<std::size_t>(TrialTargets *
+                                  static_cast<double>(candidates.size()) +
+                                  0.5));
+  // Targets come in the order of their ids, which is the same on all VMs.
+  if (candidates.size() > n)
+    candidates.resize(n);
+}
+
+std::vector<PlacementCandidate>
+findCandidates(SteeringState &state, const SteeredRequest &request,
+               const VersionRule &versions, MonoTime now) {
+  std::vector<PlacementCandidate> found;
+  std::vector<WarmupSender> senders;
+  auto rule = request.Config->Services.find(request.Service);
+  double perSecond = rule == request.Config->Services.end()
+                         ? 0
+                         : rule->second.WarmupPerSecond;
+  for (auto &[id, target] : state.Targets) {
+    const TargetEntry &entry = target.Entry;
+    if (entry.Service != request.Service || entry.Draining)
+      continue;
+    if (!versions.Only.empty() && entry.Version != versions.Only)
+      continue;
+    if (!versions.Never.empty() && entry.Version == versions.Never)
+      continue;
+    if (target.Suspended && (state.Fleet.StoreReachable ||
+                             now - target.SuspendedAt < SuspensionWithoutStore))
+      continue;
+    if (state.Evacuated.count(entry.Zone) ||
+        !regionAllowed(*request.Route, request.TeamLimits, target.Region))
+      continue;
+    if (now < target.ColdUntil && perSecond > 0) {
+      if (senders.empty())
+        for (const VmEntry &it : liveVms(state.Fleet, now))
+          senders.push_back({it.Vm, it.Region});
+      if (warmupSender(target, senders) != state.Fleet.Self.Vm ||
+          !hasWarmupToken(target, perSecond, now))
+        continue;
+    }
+    found.push_back({&target, roundTripMs(state, target)});
+  }
+  if (versions.FewTargets)
+    keepFew(found);
+  return found;
+}
+
+} // namespace
+
+Admission admitRequest(SteeringState &state, SteeredRequest &request,
+                       const std::string &host, const std::string &path,
+                       const std::string &key, MonoTime now) {
+  if (!state.Config)
+    return {503, "no-configuration", UnknownRetryAfter};
+  request.Config = state.Config;
+  const SteerConfig &config = *request.Config;
+  request.Route = findRoute(config, host, path);
+  if (!request.Route)
+    return {404, "no-route", Duration::zero()};
+  auto holder = config.Keys.find(key);
+  if (holder != config.Keys.end())
+    request.Team = holder->second;
+  else if (config.KeysRequired && !request.Route->Open)
+    return {401, "unknown-key", Duration::zero()};
+  request.Service = drawSplit(state, *request.Route);
+  countRequest(state.Services[request.Service].Repeats, now);
+  request.Deadline =
+      std::min(request.Deadline, request.ArrivedAt + request.Route->Timeout);
+  auto team = config.Teams.find(request.Team);
+  if (team == config.Teams.end())
+    return {};
+  request.TeamLimits = &team->second;
+  TeamLimit &limit = state.Teams[request.Team];
+  countArrival(limit);
+  double rate = team->second.RequestsPerSecond;
+  if (rate <= 0)
+    return {};
+  double own = limit.DemandPerSecond;
+  double all = own + peerDemand(state.Fleet, request.Team, now);
+  int vms = static_cast<int>(liveVms(state.Fleet, now).size());
+  double share = shareOfLimit(own, all, vms);
+  if (takeTeamToken(limit, rate, team->second.Burst, share, now))
+    return {};
+  return {429, "team-limit", teamTokenDelay(limit, rate, share)};
+}
+
+PlacementChoice chooseTarget(SteeringState &state, SteeredRequest &request,
+                             MonoTime now) {
+  ServiceState &service = state.Services[request.Service];
+  VersionRule versions = versionRule(state, service, request, now);
+  std::vector<PlacementCandidate> candidates =
+      findCandidates(state, request, versions, now);
+  if (candidates.empty() && !versions.Only.empty() && request.Candidate) {
+    // The new version cannot take it; the old one may.
+    versions = {VersionId(), versions.Only, false};
+    candidates = findCandidates(state, request, versions, now);
+  }
+  PlacementRequest query;
+  query.Object = request.Route->Affinity ? request.Object : "";
+  query.Zone = state.Fleet.Self.Zone;
+  query.Region = state.Fleet.Self.Region;
+  query.BodyBytes = request.BodyBytes;
+  query.LatencyTarget = request.Route->LatencyTarget;
+  query.Priority = requestPriority(*request.Route, request.TeamLimits);
+  query.Elapsed = now - request.ArrivedAt;
+  query.Left = request.Deadline - now;
+  query.Tried = request.Tried;
+  auto work = service.WorkMs.find(request.Route->Id);
+  query.WorkMs =
+      work != service.WorkMs.end()
+          ? work->second
+          : FirstWorkPart *
+                static_cast<double>(request.Route->LatencyTarget.count());
+  return placeRequest(query, candidates, now);
+}
+
+void noteSent(SteeringState &state, SteeredRequest &request,
+              TargetState &target, MonoTime now) {
+  request.Tried.push_back(target.Entry.Id);
+  target.InFlight.push_back(now);
+  auto rule = request.Config->Services.find(request.Service);
+  if (now < target.ColdUntil && rule != request.Config->Services.end())
+    takeWarmupToken(target, rule->second.WarmupPerSecond, now);
+  (void)state;
+}
+
+void noteOutcome(SteeringState &state, const SteeredRequest &request,
+                 const TargetId &target, const SendOutcome &outcome,
+                 MonoTime now) {
+  auto found = state.Targets.find(target);
+  ServiceState &service = state.Services[request.Service];
+  if (found != state.Targets.end()) {
+    TargetState &known = found->second;
+    if (outcome.Load)
+      noteLoad(known, *outcome.Load, now);
+    auto sent = std::find(known.InFlight.begin(), known.InFlight.end(),
+                          outcome.SentAt);
+    if (sent != known.InFlight.end())
+      known.InFlight.erase(sent);
+    double tookMs = static_cast<double>(outcome.Took.count()) / 1000.0;
+    bool executed = outcome.Status > 0 && outcome.Result != TargetResult::Shed;
+    double relative = executed && outcome.ExpectedMs > 0
+                          ? tookMs / outcome.ExpectedMs
+                          : -1;
+    noteResult(known, outcome.Result, relative, now);
+    if (outcome.Result == TargetResult::Answered &&
+        (!outcome.Load || outcome.Load->Waiting == 0)) {
+      double work = std::max(1.0, tookMs - roundTripMs(state, known));
+      auto [mean, first] = service.WorkMs.emplace(request.Route->Id, work);
+      if (!first)
+        mean->second += WorkWeight * (work - mean->second);
+    }
+    if (rolloutRuns(service) && outcome.Result != TargetResult::Shed &&
+        outcome.Result != TargetResult::Unreachable &&
+        now >= known.ColdUntil) {
+      RouteTally &tally = service.Evidence[request.Route->Id];
+      VersionTally &version =
+          known.Entry.Version == service.Order->Version ? tally.Candidate
+                                                        : tally.Baseline;
+      ++version.Responses;
+      if (outcome.Result == TargetResult::Failed)
+        ++version.Failures;
+      if (outcome.Took > SlowFactor * request.Route->LatencyTarget)
+        ++version.Slow;
+    }
+  }
+}
+
+bool mayRepeat(SteeringState &state, const SteeredRequest &request,
+               MonoTime now) {
+  if (static_cast<int>(request.Tried.size()) >=
+      std::max(1, request.Route->MaxTargets))
+    return false;
+  RepeatBounds bounds = state.Bounds.Repeats;
+  bounds.Vms = static_cast<int>(liveVms(state.Fleet, now).size());
+  return takeRepeat(state.Services[request.Service].Repeats, bounds, now);
+}
+
+void noteConnectTime(SteeringState &state, const ZoneId &zone, Duration took) {
+  double ms = static_cast<double>(took.count()) / 1000.0;
+  auto [it, first] = state.RoundTripMs.emplace(zone, ms);
+  if (first)
+    return;
+  // A short time is the path's; a long one may be the target's queue.
+  it->second = ms < it->second ? ms
+                               : it->second + RoundTripWeight * (ms - it->second);
+}
+
+bool adoptConfig(SteeringState &state, SteerConfig config) {
+  if (state.Config && state.Config->Version >= config.Version)
+    return false;
+  state.SplitCredit.clear();
+  state.Config = std::make_shared<const SteerConfig>(std::move(config));
+  return true;
+}
+
+void adoptTarget(SteeringState &state, const TargetEntry &entry, MonoTime now) {
+  auto [it, added] = state.Targets.try_emplace(entry.Id);
+  TargetState &target = it->second;
+  if (added) {
+    target.Entry = entry;
+    if (entry.WarmupLeft > Millis::zero())
+      target.ColdUntil = now + entry.WarmupLeft;
+  } else {
+    noteEntry(target, entry, now);
+  }
+  target.Region = regionOf(state, entry.Zone);
+}
+
+void dropTarget(SteeringState &state, const TargetId &target) {
+  state.Targets.erase(target);
+}
+
+void adoptOrder(SteeringState &state, const RolloutOrder &order, MonoTime now) {
+  ServiceState &service = state.Services[order.Service];
+  if (service.Order && service.Order->Ordered == order.Ordered)
+    return;
+  service.Order = order;
+  service.OrderedAt = now;
+  service.CandidateBad = false;
+  service.Evidence.clear();
+  service.CandidateCredit = 0;
+}
+
+void dropOrder(SteeringState &state, const ServiceId &service) {
+  state.Services[service].Order.reset();
+}
+
+void adoptStatus(SteeringState &state, const ServiceId &service,
+                 const RolloutStatus &status) {
+  ServiceState &known = state.Services[service];
+  if (status.Written < known.Status.Written)
+    return;
+  known.Status = status;
+}
+
+void startEvacuation(SteeringState &state, const ZoneId &zone) {
+  state.Evacuated.insert(zone);
+}
+
+void endEvacuation(SteeringState &state, const ZoneId &zone, MonoTime now) {
+  if (!state.Evacuated.erase(zone))
+    return;
+  for (auto &[id, target] : state.Targets) {
+    if (target.Entry.Zone != zone || !state.Config)
+      continue;
+    auto rule = state.Config->Services.find(target.Entry.Service);
+    if (rule != state.Config->Services.end())
+      target.ColdUntil = std::max(target.ColdUntil, now + rule->second.Warmup);
+  }
+}
+
+bool rolloutRuns(const ServiceState &service) {
+  if (!service.Order)
+    return false;
+  bool ended = service.Status.State == RolloutState::Completed ||
+               service.Status.State == RolloutState::RolledBack;
+  return !ended || service.Status.Written < service.Order->Ordered;
+}
+
+PeerReport makeReport(SteeringState &state, MonoTime now) {
+  PeerReport report;
+  report.Vm = state.Fleet.Self;
+  report.Draining = state.Fleet.SelfDraining;
+  report.Documents = state.Documents;
+  for (auto &[id, limit] : state.Teams) {
+    updateDemand(limit, now);
+    if (limit.DemandPerSecond > 0.05)
+      report.Demand[id] = limit.DemandPerSecond;
+  }
+  for (const auto &[id, service] : state.Services)
+    if (rolloutRuns(service))
+      report.Rollouts[id] = {service.Order->Ordered, now - service.OrderedAt,
+                             service.CandidateBad, service.Evidence};
+  return report;
+}
+
+void adoptReport(SteeringState &state, const PeerReport &report, MonoTime now) {
+  if (report.Vm.Vm == state.Fleet.Self.Vm)
+    return;
+  state.Fleet.Peers[report.Vm.Vm] = {report, now};
+  for (const auto &[id, rollout] : report.Rollouts) {
+    ServiceState &service = state.Services[id];
+    if (!service.Order || service.Order->Ordered != rollout.Ordered)
+      continue;
+    // A VM that restarted learns how long the rollout has gone on.
+    service.OrderedAt = std::min(service.OrderedAt, now - rollout.Elapsed);
+    service.CandidateBad |= rollout.Bad;
+  }
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/libsavorysteer/target_state.cpp
@@ -0,0 +1,86 @@
+#include "target_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorylb {
+namespace {
+
+/// Slowness above this says no more than that the target should be left alone.
+constexpr double MaxSlowness = 20;
+/// Part of one report in the mean of other VMs' requests.
+constexpr double OthersWeight = 0.1;
+
+double remaining(Duration age, Duration memory) {
+  if (age <= Duration::zero())
+    return 1;
+  return std::exp(-static_cast<double>(age.count()) /
+                  static_cast<double>(memory.count()));
+}
+
+} // namespace
+
+void noteLoad(TargetState &target, const TargetLoad &load, MonoTime now) {
+  double others = load.Running + load.Waiting -
+                  static_cast<double>(target.InFlight.size());
+  target.OthersLast = std::max(0.0, others);
+  target.OthersMean += OthersWeight * (target.OthersLast - target.OthersMean);
+  target.ReportedAt = now;
+  if (load.Slots > 0)
+    target.Entry.Slots = load.Slots;
+}
+
+void noteResult(TargetState &target, TargetResult result, double relative,
+                MonoTime now) {
+  double rate = currentFailureRate(target, now);
+  double slow = currentSlowness(target, now);
+  bool bad = result != TargetResult::Answered;
+  target.FailureRate = rate + ResultWeight * ((bad ? 1.0 : 0.0) - rate);
+  target.Slowness = slow;
+  if (relative >= 0)
+    target.Slowness +=
+        ResultWeight * (std::min(relative, MaxSlowness) - slow);
+  target.ResultAt = now;
+  if (result == TargetResult::Unreachable) {
+    target.Suspended = true;
+    target.SuspendedAtSequence = target.Entry.Sequence;
+    target.SuspendedAt = now;
+  }
+}
+
+void noteEntry(TargetState &target, const TargetEntry &entry, MonoTime now) {
+  bool restarted = entry.Birth != target.Entry.Birth ||
+                   entry.Address != target.Entry.Address;
+  int slots = target.Entry.Slots;
+  if (restarted) {
+    target.FailureRate = 0;
+    target.Slowness = 1;
+    target.OthersLast = target.OthersMean = 0;
+    target.Suspended = false;
+  } else if (target.Suspended &&
+             entry.Sequence > target.SuspendedAtSequence) {
+    target.Suspended = false;
+  }
+  target.Entry = entry;
+  if (!restarted && entry.Slots <= 0)
+    target.Entry.Slots = slots;
+  if (entry.WarmupLeft > Millis::zero())
+    target.ColdUntil = std::max(target.ColdUntil, now + entry.WarmupLeft);
+}
+
+double expectedRequests(const TargetState &target, MonoTime now) {
+  double fresh = remaining(now - target.ReportedAt, ReportMemory);
+  return static_cast<double>(target.InFlight.size()) +
+         fresh * target.OthersLast + (1 - fresh) * target.OthersMean;
+}
+
+double currentFailureRate(const TargetState &target, MonoTime now) {
+  return target.FailureRate * remaining(now - target.ResultAt, ResultMemory);
+}
+
+double currentSlowness(const TargetState &target, MonoTime now) {
+  double left = remaining(now - target.ResultAt, ResultMemory);
+  return 1 + (target.Slowness - 1) * left;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/libsavorysteer/target_state.h
@@ -0,0 +1,86 @@
+#ifndef SAVORYLB_TARGET_STATE_H
+#define SAVORYLB_TARGET_STATE_H
+
+#include "target_entry.h"
+
+#include <deque>
+
+namespace savorylb {
+
+/// What a target said of its load in a response.
+struct TargetLoad {
+  int Running = 0;
+  int Waiting = 0;
+  int Slots = 0;
+};
+
+/// What this VM knows of one target.
+struct TargetState {
+  TargetEntry Entry;
+  RegionId Region;
+  /// Requests of this VM without a response, by start time.
+  std::deque<MonoTime> InFlight;
+  /// Requests of other VMs at the target, at ReportedAt and smoothed.
+  double OthersLast = 0;
+  double OthersMean = 0;
+  MonoTime ReportedAt{};
+  /// Response time relative to the mean of its service, smoothed.
+  double Slowness = 1;
+  /// Part of the requests that failed or were shed, smoothed.
+  double FailureRate = 0;
+  MonoTime ResultAt{};
+  /// Cold until then.
+  MonoTime ColdUntil{};
+  /// Unreachable; unused until its entry shows that it lives.
+  bool Suspended = false;
+  std::int64_t SuspendedAtSequence = 0;
+  MonoTime SuspendedAt{};
+  /// Requests that a cold target may still get from this VM.
+  double WarmupTokens = 0;
+  MonoTime WarmupTokensAt{};
+};
+
+/// How a request to a target ended.
+enum class TargetResult { Answered, Failed, Shed, Unreachable };
+
+/// Time in which the weight of an earlier result falls to a third.
+constexpr Duration ResultMemory = Millis(4000);
+/// Time in which a load report gives way to the mean of earlier ones; a few
+/// service times.
+constexpr Duration ReportMemory = Millis(300);
+/// Part of one result in the smoothed failure rate and slowness.
+constexpr double ResultWeight = 0.2;
+
+/// Takes in a load report of a response.
+/// \param target the target, with the reported request still in flight.
+/// \param load the report.
+/// \param now the current time.
+void noteLoad(TargetState &target, const TargetLoad &load, MonoTime now);
+
+/// Takes in the end of a request.
+/// \param target the target.
+/// \param result how the request ended.
+/// \param relative response time relative to the expected one; below 0 when
+///        there is none.
+/// \param now the current time.
+void noteResult(TargetState &target, TargetResult result, double relative,
+                MonoTime now);
+
+/// Takes in a newer entry of the same target.
+/// \param target the target.
+/// \param entry the newer entry.
+/// \param now the current time.
+void noteEntry(TargetState &target, const TargetEntry &entry, MonoTime now);
+
+/// \returns the expected number of requests at the target, of all VMs.
+double expectedRequests(const TargetState &target, MonoTime now);
+
+/// \returns the failure rate, which falls while nothing is sent.
+double currentFailureRate(const TargetState &target, MonoTime now);
+
+/// \returns the slowness, which nears 1 while nothing is sent.
+double currentSlowness(const TargetState &target, MonoTime now);
+
+} // namespace savorylb
+
+#endif // SAVORYLB_TARGET_STATE_H
--- /dev/null
+++ b/src/savoryvm/main.cpp
@@ -0,0 +1,45 @@
+#include "settings_path.h"
+#include "vm_daemon.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace {
+
+constexpr int BadSettings = 2;
+constexpr int CannotListen = 3;
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app("savorylb's daemon for hosted VMs");
+  std::string file = savorylb::platform::settingsPath();
+  bool check = false;
+  app.add_option("--settings", file, "settings file, JSON with comments");
+  app.add_flag("--check-config", check, "check the settings and end");
+  CLI11_PARSE(app, argc, argv);
+  std::ifstream in(file);
+  std::string text((std::istreambuf_iterator<char>(in)),
+                   std::istreambuf_iterator<char>());
+  savorylb::Findings findings;
+  savorylb::VmSettings settings =
+      savorylb::readVmSettings(file, text, findings);
+  if (!findings.empty()) {
+    std::cerr << savorylb::formatFindings(findings);
+    return BadSettings;
+  }
+  if (check)
+    return 0;
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context io(1);
+  savorylb::VmDaemon daemon(io, settings, file);
+  if (!daemon.start()) {
+    std::cerr << "cannot listen on the addresses of " << file << "\n";
+    return CannotListen;
+  }
+  io.run();
+  return 0;
+}
--- /dev/null
+++ b/src/savoryvm/peer_codec.cpp
@@ -0,0 +1,126 @@
+#include "peer_codec.h"
+
+#include "json_read.h"
+
+namespace savorylb {
+namespace {
+
+using platform::integerIn;
+using platform::member;
+using platform::readObject;
+using platform::textIn;
+using platform::writeJson;
+
+Json::Value entryValue(const VmEntry &entry) {
+  Json::Value value;
+  value["vm"] = entry.Vm.Value;
+  value["zone"] = entry.Zone.Value;
+  value["region"] = entry.Region.Value;
+  value["callers"] = entry.CallerAddress;
+  value["peers"] = entry.PeerAddress;
+  value["start"] = entry.Start;
+  return value;
+}
+
+Result<VmEntry> readEntry(const Json::Value &value) {
+  VmEntry entry;
+  entry.Vm = VmId(textIn(value, "vm").value_or(""));
+  entry.Zone = ZoneId(textIn(value, "zone").value_or(""));
+  entry.Region = RegionId(textIn(value, "region").value_or(""));
+  entry.CallerAddress = textIn(value, "callers").value_or("");
+  entry.PeerAddress = textIn(value, "peers").value_or("");
+  entry.Start = textIn(value, "start").value_or("");
+  if (entry.Vm.empty() || entry.CallerAddress.empty())
+    return failure(ErrorCode::Malformed, "the VM entry lacks a field");
+  return entry;
+}
+
+Json::Value tallyValue(const VersionTally &tally) {
+  Json::Value value;
+  value.append(static_cast<Json::Int64>(tally.Responses));
+  value.append(static_cast<Json::Int64>(tally.Failures));
+  value.append(static_cast<Json::Int64>(tally.Slow));
+  return value;
+}
+
+VersionTally readTally(const Json::Value &value) {
+  VersionTally tally;
+  if (!value.isArray() || value.size() != 3 || !value[0].isInt64() ||
+      !value[1].isInt64() || !value[2].isInt64())
+    return tally;
+  tally.Responses = value[0].asInt64();
+  tally.Failures = value[1].asInt64();
+  tally.Slow = value[2].asInt64();
+  return tally;
+}
+
+} // namespace
+
+std::string writeVmEntry(const VmEntry &entry) {
+  return writeJson(entryValue(entry));
+}
+
+Result<VmEntry> readVmEntry(const std::string &text) {
+  auto value = readObject(text);
+  if (!value)
+    return failure(ErrorCode::Malformed, "the VM entry is no JSON object");
+  return readEntry(*value);
+}
+
+std::string writeReport(const PeerReport &report) {
+  Json::Value value = entryValue(report.Vm);
+  value["draining"] = report.Draining;
+  value["documents"] = static_cast<Json::Int64>(report.Documents.Value);
+  for (const auto &[team, rate] : report.Demand)
+    value["demand"][team.Value] = static_cast<int>(rate * 100) / 100.0;
+  for (const auto &[service, rollout] : report.Rollouts) {
+    Json::Value &out = value["rollouts"][service.Value];
+    out["ordered"] = static_cast<Json::Int64>(rollout.Ordered.Value);
+    out["elapsed_ms"] =
+        static_cast<Json::Int64>(rollout.Elapsed.count() / 1000);
+    out["bad"] = rollout.Bad;
+    for (const auto &[route, tally] : rollout.Evidence) {
+      out["routes"][route.Value]["new"] = tallyValue(tally.Candidate);
+      out["routes"][route.Value]["old"] = tallyValue(tally.Baseline);
+    }
+  }
+  return writeJson(value);
+}
+
+Result<PeerReport> readReport(const std::string &text) {
+  auto value = readObject(text);
+  if (!value)
+    return failure(ErrorCode::Malformed, "the report is no JSON object");
+  auto entry = readEntry(*value);
+  if (!entry)
+    return failure(ErrorCode::Malformed, entry.error().Message);
+  PeerReport report;
+  report.Vm = entry.value();
+  report.Draining =
+      member(*value, "draining").isBool() && (*value)["draining"].asBool();
+  report.Documents = Revision(integerIn(*value, "documents").value_or(0));
+  const Json::Value &demand = member(*value, "demand");
+  if (demand.isObject())
+    for (const std::string &it : demand.getMemberNames())
+      if (demand[it].isNumeric())
+        report.Demand[TeamId(it)] = demand[it].asDouble();
+  const Json::Value &rollouts = member(*value, "rollouts");
+  if (rollouts.isObject())
+    for (const std::string &it : rollouts.getMemberNames()) {
+      const Json::Value &in = rollouts[it];
+      PeerReport::Rollout rollout;
+      rollout.Ordered = Revision(integerIn(in, "ordered").value_or(0));
+      rollout.Elapsed = Millis(integerIn(in, "elapsed_ms").value_or(0));
+      rollout.Bad = member(in, "bad").isBool() && in["bad"].asBool();
+      const Json::Value &routes = member(in, "routes");
+      if (routes.isObject())
+        for (const std::string &route : routes.getMemberNames())
+          rollout.Evidence[RouteId(route)] = {
+              readTally(member(routes[route], "new")),
+              readTally(member(routes[route], "old"))};
+      report.Rollouts[ServiceId(it)] = rollout;
+    }
+  return report;
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryvm/store_channel.cpp
@@ -0,0 +1,58 @@
+#include "store_channel.h"
+
+namespace savorylb {
+namespace {
+
+constexpr std::int64_t MaxResponseBytes = 16 << 20;
+constexpr Duration ConnectTimeout = Millis(600);
+
+} // namespace
+
+void StoreChannel::call(HttpMessage request, Duration timeout, Done done) {
+  request.Fields.emplace_back("Host", Address);
+  if (Connection && Connection->reusable()) {
+    transmit(request, timeout, std::move(done));
+    return;
+  }
+  Connection = std::make_shared<HttpConnection>(Io, MaxResponseBytes);
+  auto connection = Connection;
+  connection->connect(
+      Address, std::min(timeout, Duration(ConnectTimeout)),
+      [this, connection, request, timeout, done](bool connected) {
+        if (connection != Connection)
+          return; // Closed or replaced meanwhile.
+        if (!connected)
+          done(failure(ErrorCode::Unavailable, "no connection"));
+        else
+          transmit(request, timeout, done);
+      });
+}
+
+void StoreChannel::transmit(const HttpMessage &request, Duration timeout,
+                            Done done) {
+  Exchange exchange;
+  exchange.Head = std::make_shared<std::string>(requestHead(request));
+  exchange.Body = std::make_shared<std::string>(request.Body);
+  exchange.Timeout = timeout;
+  auto connection = Connection;
+  exchange.Done = [this, connection, done](ExchangeEnd end,
+                                           HttpMessage &response) {
+    if (connection != Connection)
+      return;
+    if (end == ExchangeEnd::Answered)
+      done(std::move(response));
+    else
+      done(failure(ErrorCode::Unknown, end == ExchangeEnd::TimedOut
+                                           ? "no response in time"
+                                           : "connection broken"));
+  };
+  Connection->start(std::move(exchange));
+}
+
+void StoreChannel::close() {
+  if (Connection)
+    Connection->close();
+  Connection.reset();
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryvm/target_pool.cpp
@@ -0,0 +1,83 @@
+#include "target_pool.h"
+
+#include "savorylb/clock.h"
+
+#include <algorithm>
+
+namespace savorylb {
+namespace {
+
+/// A target in another region answers within a tenth of this; a longer wait
+/// is a lost packet or a target that is gone.
+constexpr Duration ConnectTimeout = Millis(700);
+/// Idle connections are kept this long, unless the target keeps them shorter.
+constexpr Duration IdleMost = Millis(5000);
+/// Part of the target's own idle time that is used; the rest is for the way.
+constexpr double KeepAlivePart = 0.6;
+
+Duration idleLimit(const HttpConnection &connection) {
+  if (!connection.KeepAliveFor)
+    return IdleMost;
+  auto told = Duration(static_cast<Duration::rep>(
+      KeepAlivePart * static_cast<double>(connection.KeepAliveFor->count())));
+  return std::min(IdleMost, told);
+}
+
+} // namespace
+
+void TargetPool::acquire(const TargetId &target, const std::string &address,
+                         Duration maxIdle, Ready ready) {
+  auto &idle = Idle[target];
+  MonoTime now = monoNow();
+  while (!idle.empty()) {
+    auto connection = idle.back();
+    idle.pop_back();
+    Duration age = now - connection->IdleSince;
+    if (connection->reusable() && age <= maxIdle &&
+        age <= idleLimit(*connection)) {
+      ready(connection);
+      return;
+    }
+    connection->close();
+  }
+  auto connection = std::make_shared<HttpConnection>(Io, MaxBodyBytes);
+  connection->connect(address, ConnectTimeout,
+                      [connection, ready](bool connected) {
+                        ready(connected ? connection : nullptr);
+                      });
+}
+
+void TargetPool::release(const TargetId &target,
+                         const std::shared_ptr<HttpConnection> &connection) {
+  if (connection->reusable())
+    Idle[target].push_back(connection);
+}
+
+void TargetPool::drop(const TargetId &target) {
+  auto it = Idle.find(target);
+  if (it == Idle.end())
+    return;
+  for (const auto &connection : it->second)
+    connection->close();
+  Idle.erase(it);
+}
+
+void TargetPool::sweep() {
+  MonoTime now = monoNow();
+  for (auto it = Idle.begin(); it != Idle.end();) {
+    auto &idle = it->second;
+    idle.erase(std::remove_if(idle.begin(), idle.end(),
+                              [&](const auto &connection) {
+                                if (connection->reusable() &&
+                                    now - connection->IdleSince <=
+                                        idleLimit(*connection))
+                                  return false;
+                                connection->close();
+                                return true;
+                              }),
+               idle.end());
+    it = idle.empty() ? Idle.erase(it) : std::next(it);
+  }
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryvm/vm_daemon.cpp
@@ -0,0 +1,554 @@
+#include "vm_daemon.h"
+
+#include "documents.h"
+#include "edge_protocol.h"
+#include "peer_codec.h"
+#include "request_runner.h"
+#include "savorylb/clock.h"
+#include "savorylb/event_log.h"
+#include "savorylb/metrics.h"
+
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace savorylb {
+namespace {
+
+constexpr Duration TickEvery = Millis(100);
+constexpr Duration ReportEvery = Millis(1000);
+constexpr Duration ReloadEvery = Millis(2000);
+/// Targets report every one to two seconds; several reports come in one call.
+constexpr Duration TargetWatchPause = Millis(600);
+constexpr Duration NoPause = Millis(5);
+/// Callers ask again after this; a VM that stops is left by then.
+constexpr Duration LookupAge = Millis(2000);
+/// Without an answer for this long the store counts as unreachable.
+constexpr Duration StoreSilence = Millis(2600);
+/// Without an answer for this long other VMs are asked for documents.
+constexpr Duration AskPeersAfter = Millis(1200);
+constexpr Duration AskPeersEvery = Millis(700);
+/// Entries of targets that live are back this long after the store.
+constexpr Duration LapseGrace = Millis(2300);
+/// Part of a service's targets that do not leave at the same moment unless
+/// their leases lapsed with the store.
+constexpr double LapsePart = 0.4;
+/// Bytes of one response that a VM of 256 MB can hold several times.
+constexpr std::int64_t MaxResponseBytes = 32 << 20;
+/// A VM keeps accepting callers for this long after the stop signal, and keeps
+/// this much of the grace for its end.
+constexpr Duration AcceptAfterStop = Millis(2800);
+constexpr Duration StopReserve = Millis(400);
+/// A rollout's change is not written again before its answer is known.
+constexpr Duration RolloutWriteEvery = Millis(1200);
+constexpr int MetricsPort = 9464;
+constexpr int LinesPerSecond = 200;
+
+HttpMessage rejection(int status, const char *reason) {
+  return platform::ownResponse(status, reason, Duration::zero());
+}
+
+std::string newStart() {
+  std::random_device random;
+  std::ostringstream out;
+  out << std::hex << random() << random();
+  return out.str();
+}
+
+std::string peerAddress(const VmSettings &settings) {
+  return settings.Address + ":" + std::to_string(settings.PeerPort);
+}
+
+VmEntry selfEntry(const VmSettings &settings) {
+  VmEntry entry;
+  entry.Vm = settings.Vm;
+  entry.Zone = settings.Zone;
+  entry.Region = settings.Region;
+  entry.CallerAddress = settings.CallerAddress;
+  entry.PeerAddress = peerAddress(settings);
+  entry.Start = newStart();
+  return entry;
+}
+
+SteeringState initialState(const VmSettings &settings) {
+  SteeringState state;
+  state.Zones = settings.Zones;
+  state.Fleet.Self = selfEntry(settings);
+  return state;
+}
+
+void setBounds(SteeringState &state, const VmSettings &settings) {
+  state.Bounds.Repeats.Ratio = settings.RepeatRatio;
+  state.Bounds.Repeats.Slack = settings.RepeatSlack;
+  state.Bounds.Repeats.Window = settings.RepeatWindow;
+}
+
+} // namespace
+
+VmDaemon::VmDaemon(asio::io_context &io, const VmSettings &settings,
+                   std::string settingsFile)
+    : Io(io), Settings(settings), SettingsFile(std::move(settingsFile)),
+      State(initialState(settings)), Pool(io, MaxResponseBytes),
+      Callers(io, [this](const auto &request) { serveCaller(request); },
+              rejection),
+      Readiness(io, [this](const auto &request) { serveReadiness(request); },
+                rejection),
+      Lookups(io, [this](const auto &request) { serveLookup(request); },
+              rejection),
+      Peers(io, [this](const auto &request) { servePeer(request); }, rejection),
+      Metrics(io,
+              [](const auto &request) {
+                HttpMessage response = jsonResponse(200, renderMetrics());
+                response.Fields = {{"Content-Type", "text/plain"}};
+                request->Respond(std::move(response));
+              },
+              rejection),
+      Link(io, State),
+      Operators(
+          io, settings.StoreAddress, platform::OperatorPrefix, NoPause,
+          [this](const auto &changes) { onOperatorChanges(changes); },
+          [this](bool answered) { onStoreContact(answered); }),
+      Targets(
+          io, settings.StoreAddress, platform::TargetPrefix, TargetWatchPause,
+          [this](const auto &changes) { onTargetChanges(changes); },
+          [this](bool answered) { onStoreContact(answered); }),
+      Systems(
+          io, settings.StoreAddress, platform::SystemPrefix, NoPause,
+          [this](const auto &changes) { onSystemChanges(changes); },
+          [this](bool answered) { onStoreContact(answered); }),
+      Registration(io, settings.StoreAddress, platform::vmKey(settings.Vm),
+                   writeVmEntry(State.Fleet.Self), settings.MinLease),
+      Ticker(io), Signals(io, SIGTERM, SIGHUP, SIGINT) {
+  setBounds(State, Settings);
+}
+
+bool VmDaemon::start() {
+  bool bound = Callers.listen(Settings.CallerAddress) &&
+               Readiness.listen(Settings.ReadyAddress) &&
+               Lookups.listen(Settings.LookupAddress) &&
+               Peers.listen(peerAddress(Settings)) &&
+               Link.open(peerAddress(Settings)) &&
+               Metrics.listen(Settings.Address + ":" +
+                              std::to_string(MetricsPort));
+  if (!bound)
+    return false;
+  openEventStream(Settings.Vm.Value, LinesPerSecond);
+  logEvent(EventCode::DaemonStarted,
+           {{"incarnation", State.Fleet.Self.Start},
+            {"zone", Settings.Zone.Value},
+            {"address", Settings.CallerAddress}});
+  StoreAnsweredAt = monoNow();
+  Operators.start();
+  Targets.start();
+  Systems.start();
+  Registration.start();
+  waitForSignal();
+  TickedAt = monoNow();
+  tick();
+  return true;
+}
+
+bool VmDaemon::ready() const {
+  return State.Config && TargetsListed && !Stopping;
+}
+
+void VmDaemon::serveCaller(const std::shared_ptr<ServedRequest> &request) {
+  if (!TargetsListed) {
+    request->Respond(
+        platform::ownResponse(503, "not-ready", Duration(Millis(500))));
+    return;
+  }
+  std::make_shared<RequestRunner>(Io, State, Pool, request)->start();
+}
+
+void VmDaemon::serveReadiness(const std::shared_ptr<ServedRequest> &request) {
+  bool known = platform::isReadinessCheck(request->Message);
+  request->Respond(known && ready() ? jsonResponse(200, "{}")
+                                    : rejection(known ? 503 : 404, "not-ready"));
+}
+
+void VmDaemon::serveLookup(const std::shared_ptr<ServedRequest> &request) {
+  auto question = platform::readLookup(request->Message);
+  if (!question) {
+    request->Respond(rejection(404, "no-such-call"));
+    return;
+  }
+  auto addresses = lookupAddresses(State.Fleet, question->Zone,
+                                   question->Region, monoNow());
+  countEvent("lookups");
+  request->Respond(platform::lookupResponse(
+      addresses, std::min(LookupAge, Duration(Settings.LookupMaxAge))));
+}
+
+void VmDaemon::servePeer(const std::shared_ptr<ServedRequest> &request) {
+  for (const StoreSync *it : {&Operators, &Targets, &Systems})
+    if (request->Message.Path == "/documents/" + it->mirror().Prefix &&
+        it->mirror().Known.Value > 0) {
+      request->Respond(jsonResponse(200, writeMirror(it->mirror())));
+      return;
+    }
+  request->Respond(rejection(404, "no-such-documents"));
+}
+
+void VmDaemon::onStoreContact(bool answered) {
+  MonoTime now = monoNow();
+  if (answered) {
+    if (now - StoreAnsweredAt > StoreSilence)
+      logEvent(EventCode::StoreReachable, {});
+    StoreAnsweredAt = now;
+  } else {
+    if (now - StoreFailedAt > StoreSilence)
+      logEvent(EventCode::StoreUnreachable, {});
+    StoreFailedAt = now;
+  }
+}
+
+void VmDaemon::onOperatorChanges(
+    const std::vector<platform::StoreItem> &changes) {
+  for (const platform::StoreItem &it : changes)
+    onOperatorChange(it);
+}
+
+void VmDaemon::onOperatorChange(const platform::StoreItem &item) {
+  MonoTime now = monoNow();
+  State.Documents = std::max(State.Documents, item.Changed);
+  platform::DocumentName name = platform::readKey(item.Key);
+  switch (name.Kind) {
+  case platform::DocumentKind::Config: {
+    if (item.Removed)
+      return;
+    auto config = platform::readConfig(item.Value);
+    if (!config) {
+      logEvent(EventCode::DocumentRejected,
+               {{"key", item.Key},
+                {"revision", item.Changed.Value},
+                {"findings", config.error().Message}});
+      return;
+    }
+    if (!adoptConfig(State, config.value()))
+      return;
+    const CallerLimits &limits = State.Config->Limits;
+    Callers.setLimits({limits.MaxHeaderBytes, limits.MaxBodyBytes,
+                       limits.HeaderTimeout, limits.IdleTimeout});
+    logEvent(EventCode::ConfigInForce, {{"version", State.Config->Version},
+                                        {"revision", item.Changed.Value}});
+    return;
+  }
+  case platform::DocumentKind::RolloutOrder: {
+    ServiceId service(name.Subject);
+    if (item.Removed) {
+      dropOrder(State, service);
+      return;
+    }
+    auto order = platform::readRolloutOrder(service, item.Value);
+    if (!order) {
+      logEvent(EventCode::DocumentRejected,
+               {{"key", item.Key}, {"findings", order.error().Message}});
+      return;
+    }
+    order.value().Ordered = item.Changed;
+    adoptOrder(State, order.value(), now);
+    logEvent(EventCode::RolloutOrdered,
+             {{"service", service.Value},
+              {"version", order.value().Version.Value},
+              {"window_us", order.value().Window.count()}});
+    return;
+  }
+  case platform::DocumentKind::Evacuation: {
+    ZoneId zone(name.Subject);
+    if (item.Removed) {
+      endEvacuation(State, zone, now);
+      logEvent(EventCode::EvacuationEnded, {{"zone", zone.Value}});
+    } else {
+      startEvacuation(State, zone);
+      logEvent(EventCode::EvacuationStarted,
+               {{"zone", zone.Value}, {"revision", item.Changed.Value}});
+    }
+    return;
+  }
+  default:
+    return;
+  }
+}
+
+void VmDaemon::removeTarget(const TargetId &target, const char *reason) {
+  logEvent(EventCode::TargetDown,
+           {{"target", target.Value}, {"reason", std::string(reason)}});
+  dropTarget(State, target);
+  Pool.drop(target);
+}
+
+void VmDaemon::onTargetChanges(
+    const std::vector<platform::StoreItem> &changes) {
+  MonoTime now = monoNow();
+  TargetsListed = true;
+  std::size_t removed = 0;
+  for (const platform::StoreItem &it : changes)
+    removed += it.Removed;
+  bool lapsed = static_cast<double>(removed) >
+                LapsePart * static_cast<double>(State.Targets.size());
+  for (const platform::StoreItem &it : changes) {
+    TargetId id(platform::readKey(it.Key).Subject);
+    if (it.Removed) {
+      if (!State.Targets.count(id))
+        continue;
+      if (lapsed || now - StoreFailedAt < LapseGrace)
+        Removals.emplace(id, now);
+      else
+        removeTarget(id, "entry-removed");
+      continue;
+    }
+    Removals.erase(id);
+    auto entry = platform::readTarget(id, it.Value);
+    if (!entry) {
+      logEvent(EventCode::TargetRejected,
+               {{"target", id.Value}, {"reason", entry.error().Message}});
+      if (State.Targets.count(id))
+        removeTarget(id, "entry-unreadable");
+      continue;
+    }
+    auto known = State.Targets.find(id);
+    bool added = known == State.Targets.end();
+    bool left = !added && !known->second.Entry.Draining &&
+                entry.value().Draining;
+    bool restarted =
+        !added && known->second.Entry.Birth != entry.value().Birth;
+    if (restarted)
+      Pool.drop(id);
+    adoptTarget(State, entry.value(), now);
+    if (added || restarted)
+      logEvent(EventCode::TargetUp,
+               {{"target", id.Value},
+                {"reason", std::string(added ? "entry-added" : "restarted")},
+                {"service", entry.value().Service.Value},
+                {"version", entry.value().Version.Value},
+                {"cold_ms", entry.value().WarmupLeft.count()}});
+    if (left)
+      logEvent(EventCode::TargetDown, {{"target", id.Value},
+                                       {"reason", std::string("draining")}});
+  }
+}
+
+void VmDaemon::onSystemChanges(
+    const std::vector<platform::StoreItem> &changes) {
+  for (const platform::StoreItem &it : changes) {
+    platform::DocumentName name = platform::readKey(it.Key);
+    if (name.Kind == platform::DocumentKind::Vm) {
+      VmId vm(name.Subject);
+      if (vm == State.Fleet.Self.Vm)
+        continue;
+      auto entry = it.Removed ? Result<VmEntry>(
+                                    failure(ErrorCode::NotFound, "removed"))
+                              : readVmEntry(it.Value);
+      if (entry) {
+        State.Fleet.Registered[vm] = entry.value();
+        logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
+      } else {
+        State.Fleet.Registered.erase(vm);
+        logEvent(EventCode::PeerDown, {{"peer", vm.Value},
+                                       {"reason", entry.error().Message}});
+      }
+    } else if (name.Kind == platform::DocumentKind::RolloutStatus &&
+               !it.Removed) {
+      auto status = platform::readRolloutStatus(it.Value);
+      if (!status) {
+        logEvent(EventCode::DocumentRejected,
+                 {{"key", it.Key}, {"findings", status.error().Message}});
+        continue;
+      }
+      status.value().Written = it.Changed;
+      adoptStatus(State, ServiceId(name.Subject), status.value());
+      logEvent(EventCode::RolloutStepped,
+               {{"service", name.Subject}, {"status", it.Value}});
+    }
+  }
+}
+
+void VmDaemon::tick() {
+  MonoTime now = monoNow();
+  if (now - TickedAt > Duration(Millis(1500)))
+    logEvent(EventCode::PauseNoticed, {{"gap_us", (now - TickedAt).count()}});
+  TickedAt = now;
+  State.Fleet.StoreReachable = now - StoreAnsweredAt <= StoreSilence;
+  if (ready() != WasReady) {
+    WasReady = ready();
+    if (WasReady)
+      logEvent(EventCode::DaemonReady,
+               {{"revision", State.Documents.Value},
+                {"targets", static_cast<std::int64_t>(State.Targets.size())}});
+  }
+  applyRemovals(now);
+  writeRollouts(now);
+  askPeer(now);
+  if (now - ReportedAt >= ReportEvery) {
+    ReportedAt = now;
+    Link.sendReports();
+    Pool.sweep();
+  }
+  if (now - ReloadedAt >= ReloadEvery)
+    reload();
+  if (Stopping)
+    stopStep();
+  flushEventStream();
+  Ticker.expires_after(TickEvery);
+  Ticker.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      tick();
+  });
+}
+
+void VmDaemon::applyRemovals(MonoTime now) {
+  // While the store fails, entries of targets that live cannot come back.
+  if (now - StoreFailedAt < LapseGrace)
+    return;
+  for (auto it = Removals.begin(); it != Removals.end();) {
+    if (now - it->second < LapseGrace) {
+      ++it;
+      continue;
+    }
+    removeTarget(it->first, "entry-not-back");
+    it = Removals.erase(it);
+  }
+}
+
+void VmDaemon::writeRollouts(MonoTime now) {
+  for (const StatusChange &it : reviewRollouts(State, now)) {
+    MonoTime &written = RolloutWrittenAt[it.Service];
+    if (now - written < RolloutWriteEvery)
+      continue;
+    written = now;
+    platform::StoreChange change;
+    change.Key = platform::rolloutStatusKey(it.Service);
+    change.Value = platform::writeRolloutStatus(it.State, it.Version);
+    change.Conditional = true;
+    change.Expected = it.Replaces;
+    Registration.write(change);
+  }
+}
+
+void VmDaemon::askPeer(MonoTime now) {
+  bool away = now - StoreAnsweredAt > AskPeersAfter;
+  VmEntry chosen;
+  for (const auto &[vm, peer] : State.Fleet.Peers) {
+    if (now - peer.HeardAt > HeardWithin)
+      continue;
+    bool newer = peer.Report.Documents > State.Documents;
+    if (newer || (away && chosen.Vm.empty()))
+      chosen = peer.Report.Vm;
+    if (newer)
+      break;
+  }
+  if (chosen.Vm.empty() || (PeerAsked && now - PeerAskedAt < Seconds(2)) ||
+      now - PeerAskedAt < AskPeersEvery)
+    return;
+  PeerAsked = true;
+  PeerAskedAt = now;
+  PeerChannel = std::make_unique<StoreChannel>(Io, chosen.PeerAddress);
+  HttpMessage request;
+  request.Method = "GET";
+  request.Path = std::string("/documents/") + platform::OperatorPrefix;
+  std::string peer = chosen.Vm.Value;
+  bool targetsToo = away;
+  PeerChannel->call(request, Seconds(1), [this, peer, targetsToo](
+                                             Result<HttpMessage> response) {
+    PeerAsked = false;
+    adoptFromPeer(peer, platform::OperatorPrefix, response);
+    if (!targetsToo || !response)
+      return;
+    HttpMessage more;
+    more.Method = "GET";
+    more.Path = std::string("/documents/") + platform::TargetPrefix;
+    PeerChannel->call(more, Seconds(1),
+                      [this, peer](Result<HttpMessage> answer) {
+                        adoptFromPeer(peer, platform::TargetPrefix, answer);
+                      });
+  });
+}
+
+void VmDaemon::adoptFromPeer(const std::string &peer, const std::string &prefix,
+                             const Result<HttpMessage> &response) {
+  if (!response || response.value().Status != 200) {
+    countEvent("peer_documents_failed"); // Another VM is asked next time.
+    return;
+  }
+  auto page = readMirror(response.value().Body);
+  if (!page) {
+    logEvent(EventCode::DocumentRejected,
+             {{"key", prefix}, {"findings", page.error().Message}});
+    return;
+  }
+  StoreSync &sync =
+      prefix == platform::OperatorPrefix ? Operators : Targets;
+  if (page.value().Read <= sync.mirror().Known)
+    return;
+  sync.adopt(page.value());
+  logEvent(EventCode::PeerDocumentsAdopted,
+           {{"prefix", prefix},
+            {"peer", peer},
+            {"revision", page.value().Read.Value}});
+}
+
+void VmDaemon::waitForSignal() {
+  Signals.async_wait([this](const boost::system::error_code &ec, int signal) {
+    if (ec)
+      return;
+    if (signal == SIGHUP)
+      reload();
+    else
+      startStop();
+    waitForSignal();
+  });
+}
+
+void VmDaemon::reload() {
+  ReloadedAt = monoNow();
+  std::ifstream in(SettingsFile);
+  std::string text((std::istreambuf_iterator<char>(in)),
+                   std::istreambuf_iterator<char>());
+  if (text.empty() || text == SettingsText)
+    return;
+  bool first = SettingsText.empty();
+  SettingsText = text;
+  Findings findings;
+  VmSettings settings = readVmSettings(SettingsFile, text, findings);
+  if (findings.empty()) {
+    // Addresses stay as they are while the process runs.
+    State.Zones = settings.Zones;
+    setBounds(State, settings);
+    Settings.LookupMaxAge = settings.LookupMaxAge;
+    Settings.StopGrace = settings.StopGrace;
+  }
+  if (!first)
+    logEvent(EventCode::SettingsReloaded,
+             {{"findings", formatFindings(findings)}});
+}
+
+void VmDaemon::startStop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  StopAt = monoNow();
+  State.Fleet.SelfDraining = true;
+  logEvent(EventCode::DrainStarted,
+           {{"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
+  Registration.stop();
+  Link.sendReports();
+  Callers.startDrain();
+}
+
+void VmDaemon::stopStep() {
+  Duration since = monoNow() - StopAt;
+  if (since < AcceptAfterStop)
+    return;
+  Callers.closeIdle();
+  bool over = since > Duration(Settings.StopGrace) - StopReserve;
+  if (Callers.inFlight() > 0 && !over)
+    return;
+  logEvent(EventCode::DaemonStopped,
+           {{"drain_ms", since.count() / 1000},
+            {"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
+  closeEventLog();
+  Io.stop();
+}
+
+} // namespace savorylb
--- /dev/null
+++ b/src/savoryvm/vm_daemon.h
@@ -0,0 +1,90 @@
+#ifndef SAVORYLB_VM_DAEMON_H
+#define SAVORYLB_VM_DAEMON_H
+
+#include "http_server.h"
+#include "peer_link.h"
+#include "steering_state.h"
+#include "store_sync.h"
+#include "target_pool.h"
+#include "vm_registration.h"
+#include "vm_settings.h"
+
+#include <map>
+#include <memory>
+
+namespace savorylb {
+
+/// The daemon of one VM: its state, its servers and its links.
+class VmDaemon {
+public:
+  VmDaemon(asio::io_context &io, const VmSettings &settings,
+           std::string settingsFile);
+
+  /// \returns whether all addresses could be bound.
+  bool start();
+
+private:
+  void serveCaller(const std::shared_ptr<ServedRequest> &request);
+  void serveReadiness(const std::shared_ptr<ServedRequest> &request);
+  void serveLookup(const std::shared_ptr<ServedRequest> &request);
+  void servePeer(const std::shared_ptr<ServedRequest> &request);
+
+  void onOperatorChanges(const std::vector<platform::StoreItem> &changes);
+  void onOperatorChange(const platform::StoreItem &item);
+  void onTargetChanges(const std::vector<platform::StoreItem> &changes);
+  void onSystemChanges(const std::vector<platform::StoreItem> &changes);
+  void removeTarget(const TargetId &target, const char *reason);
+  void onStoreContact(bool answered);
+
+  void tick();
+  void applyRemovals(MonoTime now);
+  void writeRollouts(MonoTime now);
+  void askPeer(MonoTime now);
+  void adoptFromPeer(const std::string &peer, const std::string &prefix,
+                     const Result<HttpMessage> &response);
+  void waitForSignal();
+  void reload();
+  void startStop();
+  void stopStep();
+  bool ready() const;
+
+  asio::io_context &Io;
+  VmSettings Settings;
+  std::string SettingsFile;
+  std::string SettingsText;
+  SteeringState State;
+  TargetPool Pool;
+  HttpServer Callers;
+  HttpServer Readiness;
+  HttpServer Lookups;
+  HttpServer Peers;
+  HttpServer Metrics;
+  PeerLink Link;
+  StoreSync Operators;
+  StoreSync Targets;
+  StoreSync Systems;
+  VmRegistration Registration;
+  std::unique_ptr<StoreChannel> PeerChannel;
+  bool PeerAsked = false;
+  MonoTime PeerAskedAt{};
+  asio::steady_timer Ticker;
+  asio::signal_set Signals;
+  MonoTime StoreAnsweredAt{};
+  MonoTime StoreFailedAt{};
+  MonoTime ReportedAt{};
+  MonoTime ReloadedAt{};
+  MonoTime TickedAt{};
+  MonoTime StopAt{};
+  bool Stopping = false;
+  bool Accepting = true;
+  bool WasReady = false;
+  bool TargetsListed = false;
+  /// Targets whose entries were removed while the store was away, and since
+  /// when.
+  std::map<TargetId, MonoTime> Removals;
+  std::map<ServiceId, MonoTime> RolloutWrittenAt;
+};
+
+} // namespace savorylb
+
+#endif // SAVORYLB_VM_DAEMON_H
