--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -4,17 +4,24 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace savorylb {
 namespace {
 
-/// Part of a service's targets that should have one object cached. A half
-/// leaves each zone with several targets a choice and keeps an object's other
-/// half of the targets free of it.
-constexpr double CachedPart = 0.5;
-/// Cost of an uncached execution relative to the mean execution time, which is
-/// mostly that of cached ones.
-constexpr double UncachedCost = 1.2;
+/// One in so many of a region's targets should have an object cached, within
+/// bounds. Few copies leave each target room for the objects that it has; a
+/// second copy takes over when the first target is busy or gone.
+constexpr std::size_t TargetsPerCopy = 4;
+constexpr std::size_t MaxCopies = 3;
+/// Cost of a later copy relative to a cached execution, so that the first copy
+/// is used as long as it is free.
+constexpr double RankCost = 0.12;
+/// Objects that a target handled for this VM within this time are still
+/// cached, as observed at 50 objects a target.
+constexpr Duration CachedFor = Millis(3000);
+/// Cost of a target with all slots taken, relative to a cached execution.
+constexpr double BusyCost = 0.3;
 /// Cost of a request that fails with certainty; about a deadline.
 constexpr double FailureCostMs = 2000;
 /// Cost of sending a kilobyte to another zone; transfers between zones are
@@ -33,6 +40,7 @@
 
 struct Estimate {
   double LatencyMs = 0;
+  double UncachedMs = 0;
   double Cost = 0;
   bool FreeSlot = false;
 };
@@ -42,15 +50,17 @@
 }
 
 Estimate estimate(const PlacementRequest &request,
-                  const PlacementCandidate &candidate, MonoTime now) {
+                  const PlacementCandidate &candidate, int rank,
+                  MonoTime now) {
   const TargetState &target = *candidate.Target;
   double slots = std::max(1, target.Entry.Slots);
   double there = expectedRequests(target, now);
-  double work = request.WorkMs * currentSlowness(target, now);
-  bool cached = request.Object.empty() ||
-                holdsObject(request.Object, target.Entry.Id);
-  double uncached = cached ? 0 : UncachedCost * work;
-  double queued = std::max(0.0, there + 1 - slots) / slots * work;
+  double slow = currentSlowness(target, now);
+  bool known = knownCached(target, request.Object, now);
+  bool cached = !request.Object.empty() && (rank >= 0 || known);
+  double work = slow * (cached ? request.CachedMs : request.UncachedMs);
+  double queued = std::max(0.0, there + 1 - slots) / slots * slow *
+                  request.CachedMs;
   Estimate result;
   result.FreeSlot = there + 1 <= slots;
   result.LatencyMs = candidate.RoundTripMs + work + queued;
@@ -59,8 +69,12 @@
     if (oldest > StuckFactor * (work + queued) + candidate.RoundTripMs)
       result.LatencyMs += oldest;
   }
+  result.UncachedMs =
+      result.LatencyMs + slow * std::max(0.0, request.UncachedMs) - work;
   double busy = std::min(1.0, there / slots);
-  result.Cost = result.LatencyMs + uncached + 0.3 * work * busy * busy +
+  result.Cost = result.LatencyMs +
+                request.CachedMs * (BusyCost * busy * busy +
+                                    RankCost * std::max(0, rank)) +
                 FailureCostMs * currentFailureRate(target, now);
   if (target.Entry.Zone != request.Zone)
     result.Cost += CrossZoneMsPerKilobyte *
@@ -75,9 +89,41 @@
 
 } // namespace
 
-bool holdsObject(const std::string &object, const TargetId &target) {
-  std::uint64_t hash = stableHash(target.Value, stableHash(object));
-  return static_cast<double>(hash >> 11) * 0x1p-53 < CachedPart;
+bool knownCached(const TargetState &target, const std::string &object,
+                 MonoTime now) {
+  auto it = target.Objects.find(object);
+  return it != target.Objects.end() && now - it->second <= CachedFor;
+}
+
+std::vector<int>
+objectRanks(const std::string &object, const RegionId &region,
+            const std::vector<PlacementCandidate> &candidates) {
+  std::vector<int> ranks(candidates.size(), -1);
+  if (object.empty())
+    return ranks;
+  std::uint64_t seed = stableHash(object);
+  using Weighted = std::pair<std::uint64_t, std::size_t>;
+  std::vector<Weighted> near;
+  Weighted far{0, candidates.size()};
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const TargetState &target = *candidates[i].Target;
+    Weighted it{stableHash(target.Entry.Id.Value, seed), i};
+    if (target.Region == region)
+      near.push_back(it);
+    else
+      far = std::max(far, it);
+  }
+  std::size_t copies = std::min(
+      {near.size(), MaxCopies,
+       std::max<std::size_t>(1, (near.size() + TargetsPerCopy / 2) /
+                                    TargetsPerCopy)});
+  std::partial_sort(near.begin(), near.begin() + static_cast<long>(copies),
+                    near.end(), std::greater<>());
+  for (std::size_t i = 0; i < copies; ++i)
+    ranks[near[i].second] = static_cast<int>(i);
+  if (far.second < candidates.size())
+    ranks[far.second] = static_cast<int>(copies);
+  return ranks;
 }
 
 PlacementChoice placeRequest(const PlacementRequest &request,
@@ -86,10 +132,13 @@
   PlacementChoice choice;
   Estimate best;
   double leastQueue = 0;
-  for (const PlacementCandidate &it : candidates) {
+  std::vector<int> ranks =
+      objectRanks(request.Object, request.Region, candidates);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const PlacementCandidate &it = candidates[i];
     if (tried(request, it.Target->Entry.Id))
       continue;
-    Estimate found = estimate(request, it, now);
+    Estimate found = estimate(request, it, ranks[i], now);
     if (!choice.Target || found.Cost < best.Cost) {
       choice.Target = it.Target;
       best = found;
@@ -103,13 +152,16 @@
     return choice;
   }
   choice.ExpectedMs = best.LatencyMs;
+  choice.ExpectedUncachedMs = best.UncachedMs;
   double part = std::max(MinQueueBound,
                          QueueBound - PriorityStep * request.Priority);
   double boundMs = part * static_cast<double>(request.LatencyTarget.count()) -
                    toMs(request.Elapsed);
   bool inTime = best.LatencyMs <= boundMs;
   bool beforeDeadline = best.LatencyMs < toMs(request.Left);
-  if (beforeDeadline && (inTime || best.FreeSlot))
+  // A free slot is used even when the estimate is too long, else a wrong
+  // estimate would never be corrected.
+  if ((beforeDeadline && inTime) || best.FreeSlot)
     return choice;
   choice.Target = nullptr;
   choice.Reason = "overload";
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -24,8 +24,10 @@
   Duration Elapsed{0};
   /// Time until its deadline.
   Duration Left{0};
-  /// Mean time that a target works on such a request.
-  double WorkMs = 0;
+  /// Mean time that a target works on such a request when it has the object
+  /// cached, and when it has not.
+  double CachedMs = 0;
+  double UncachedMs = 0;
   /// Targets that the request was sent to before.
   std::vector<TargetId> Tried;
 };
@@ -41,6 +43,8 @@
   TargetState *Target = nullptr;
   /// Expected time from now to the response.
   double ExpectedMs = 0;
+  /// The same when the object is not cached.
+  double ExpectedUncachedMs = 0;
   /// When a refused request is likely to be served.
   Duration RetryAfter{0};
   /// `no-target`, `overload` or empty.
@@ -54,10 +58,11 @@
 /// at the targets stay short and the served requests are in time. Less urgent
 /// requests of a service are refused at shorter queues.
 ///
-/// Objects are spread by rendezvous hashing: every VM knows without messages
-/// which half of the targets should have an object cached. Another target is
-/// taken when those are further away or have longer queues than an uncached
-/// execution costs.
+/// Objects are spread by rendezvous hashing with bounded loads: every VM knows
+/// without messages which few targets of its region, and which one elsewhere,
+/// should have an object cached. The first of them is taken until its queue or
+/// its distance costs more than the next one, and a target without the object
+/// only when that costs less than an uncached execution.
 /// \param request the request.
 /// \param candidates targets that the configuration allows.
 /// \param now the current time.
@@ -66,8 +71,18 @@
                              const std::vector<PlacementCandidate> &candidates,
                              MonoTime now);
 
-/// \returns whether a target is among those that should have an object cached.
-bool holdsObject(const std::string &object, const TargetId &target);
+/// Names the targets that should have an object cached.
+/// \param object the object.
+/// \param region the region that the requests come from.
+/// \param candidates the targets in use.
+/// \returns for each candidate its rank, or -1 when it should not.
+std::vector<int>
+objectRanks(const std::string &object, const RegionId &region,
+            const std::vector<PlacementCandidate> &candidates);
+
+/// \returns whether this VM has lately seen the target handle the object.
+bool knownCached(const TargetState &target, const std::string &object,
+                 MonoTime now);
 
 } // namespace savorylb
 
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -11,8 +11,9 @@
 constexpr double OtherRegionMs = 50;
 /// Part of one connection in the smoothed round trip.
 constexpr double RoundTripWeight = 0.1;
-/// Expected work before any response, as a part of the latency target.
-constexpr double FirstWorkPart = 0.6;
+/// Expected work before any response, as parts of the latency target.
+constexpr double FirstCachedPart = 0.45;
+constexpr double FirstUncachedPart = 1.4;
 /// Part of one response in the smoothed work time.
 constexpr double WorkWeight = 0.05;
 /// A suspended target is tried again after this time when no newer entries
@@ -36,6 +37,46 @@
   return target.Region == self.Region ? SameRegionMs : OtherRegionMs;
 }
 
+ServiceState::WorkTime &workTime(ServiceState &service,
+                                 const RouteRule &route) {
+  auto known = service.Work.find(route.Id);
+  if (known != service.Work.end())
+    return known->second;
+  double target = static_cast<double>(route.LatencyTarget.count());
+  ServiceState::WorkTime first{FirstCachedPart * target,
+                               FirstUncachedPart * target};
+  // A new route's requests are likely to be like those of the other routes.
+  if (!service.Work.empty())
+    first = service.Work.begin()->second;
+  return service.Work.emplace(route.Id, first).first->second;
+}
+
+/// Takes one response into the mean work times, if it is known whether the
+/// target had the object cached.
+void learnWork(SteeringState &state, const SteeredRequest &request,
+               const TargetState &target, double tookMs, MonoTime now) {
+  ServiceState::WorkTime &work =
+      workTime(state.Services[request.Service], *request.Route);
+  double worked = std::max(1.0, tookMs - roundTripMs(state, target));
+  bool seen = target.Objects.count(request.Object) > 0;
+  if (knownCached(target, request.Object, now))
+    work.CachedMs += WorkWeight * (worked - work.CachedMs);
+  else if (!seen && worked > work.CachedMs)
+    work.UncachedMs += WorkWeight * (worked - work.UncachedMs);
+}
+
+/// \returns a response time relative to the expected one; responses that may
+///          have been uncached executions count only beyond the time of one.
+double relativeTime(const SteeredRequest &request, const TargetState &target,
+                    const SendOutcome &outcome, double tookMs, MonoTime now) {
+  if (outcome.ExpectedMs <= 0)
+    return -1;
+  if (knownCached(target, request.Object, now))
+    return tookMs / outcome.ExpectedMs;
+  return std::max(1.0, tookMs / std::max(outcome.ExpectedMs,
+                                         outcome.ExpectedUncachedMs));
+}
+
 /// Draws a split so that each gets its part over few requests.
 ServiceId drawSplit(SteeringState &state, const RouteRule &route) {
   if (route.Splits.size() == 1)
@@ -221,12 +262,9 @@
   query.Elapsed = now - request.ArrivedAt;
   query.Left = request.Deadline - now;
   query.Tried = request.Tried;
-  auto work = service.WorkMs.find(request.Route->Id);
-  query.WorkMs =
-      work != service.WorkMs.end()
-          ? work->second
-          : FirstWorkPart *
-                static_cast<double>(request.Route->LatencyTarget.count());
+  const ServiceState::WorkTime &work = workTime(service, *request.Route);
+  query.CachedMs = work.CachedMs;
+  query.UncachedMs = work.UncachedMs;
   return placeRequest(query, candidates, now);
 }
 
@@ -255,16 +293,13 @@
       known.InFlight.erase(sent);
     double tookMs = static_cast<double>(outcome.Took.count()) / 1000.0;
     bool executed = outcome.Status > 0 && outcome.Result != TargetResult::Shed;
-    double relative = executed && outcome.ExpectedMs > 0
-                          ? tookMs / outcome.ExpectedMs
-                          : -1;
+    double relative =
+        executed ? relativeTime(request, known, outcome, tookMs, now) : -1;
     noteResult(known, outcome.Result, relative, now);
-    if (outcome.Result == TargetResult::Answered &&
-        (!outcome.Load || outcome.Load->Waiting == 0)) {
-      double work = std::max(1.0, tookMs - roundTripMs(state, known));
-      auto [mean, first] = service.WorkMs.emplace(request.Route->Id, work);
-      if (!first)
-        mean->second += WorkWeight * (work - mean->second);
+    if (outcome.Result == TargetResult::Answered) {
+      if (!outcome.Load || outcome.Load->Waiting == 0)
+        learnWork(state, request, known, tookMs, now);
+      noteObject(known, request.Object, now);
     }
     if (rolloutRuns(service) && outcome.Result != TargetResult::Shed &&
         outcome.Result != TargetResult::Unreachable &&
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -36,7 +36,11 @@
   bool CandidateBad = false;
   RolloutEvidence Evidence;
   /// Mean time that a target works on a request, by route.
-  std::map<RouteId, double> WorkMs;
+  struct WorkTime {
+    double CachedMs = 0;
+    double UncachedMs = 0;
+  };
+  std::map<RouteId, WorkTime> Work;
   /// Part of the requests owed to the new version, carried on.
   double CandidateCredit = 0;
 };
@@ -117,6 +121,7 @@
   /// From sending to the end.
   Duration Took{0};
   double ExpectedMs = 0;
+  double ExpectedUncachedMs = 0;
   MonoTime SentAt{};
 };
 
--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -11,6 +11,9 @@
 /// Part of one report in the mean of other VMs' requests.
 constexpr double OthersWeight = 0.1;
 
+/// Objects remembered of one target; more than a target has cached.
+constexpr std::size_t MaxObjects = 128;
+
 double remaining(Duration age, Duration memory) {
   if (age <= Duration::zero())
     return 1;
@@ -56,6 +59,7 @@
     target.FailureRate = 0;
     target.Slowness = 1;
     target.OthersLast = target.OthersMean = 0;
+    target.Objects.clear();
     target.Suspended = false;
   } else if (target.Suspended &&
              entry.Sequence > target.SuspendedAtSequence) {
@@ -68,6 +72,18 @@
     target.ColdUntil = std::max(target.ColdUntil, now + entry.WarmupLeft);
 }
 
+void noteObject(TargetState &target, const std::string &object, MonoTime now) {
+  if (object.empty())
+    return;
+  if (target.Objects.size() >= MaxObjects && !target.Objects.count(object)) {
+    auto oldest = std::min_element(
+        target.Objects.begin(), target.Objects.end(),
+        [](const auto &a, const auto &b) { return a.second < b.second; });
+    target.Objects.erase(oldest);
+  }
+  target.Objects[object] = now;
+}
+
 double expectedRequests(const TargetState &target, MonoTime now) {
   double fresh = remaining(now - target.ReportedAt, ReportMemory);
   return static_cast<double>(target.InFlight.size()) +
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -4,6 +4,8 @@
 #include "target_entry.h"
 
 #include <deque>
+#include <string>
+#include <unordered_map>
 
 namespace savorylb {
 
@@ -38,8 +40,13 @@
   /// Requests that a cold target may still get from this VM.
   double WarmupTokens = 0;
   MonoTime WarmupTokensAt{};
+  /// Objects that the target handled for this VM, and when.
+  std::unordered_map<std::string, MonoTime> Objects;
 };
 
+/// Notes that the target has handled an object.
+void noteObject(TargetState &target, const std::string &object, MonoTime now);
+
 /// How a request to a target ended.
 enum class TargetResult { Answered, Failed, Shed, Unreachable };
 
--- a/src/savoryvm/request_runner.cpp
+++ b/src/savoryvm/request_runner.cpp
@@ -83,15 +83,17 @@
     refuse(503, choice.Reason, choice.RetryAfter);
     return;
   }
-  send(*choice.Target, choice.ExpectedMs);
+  send(choice);
 }
 
-void RequestRunner::send(TargetState &target, double expectedMs) {
+void RequestRunner::send(const PlacementChoice &choice) {
   MonoTime now = monoNow();
+  TargetState &target = *choice.Target;
   Current = Send();
   Current.Target = target.Entry.Id;
   Current.Version = target.Entry.Version;
-  Current.ExpectedMs = expectedMs;
+  Current.ExpectedMs = choice.ExpectedMs;
+  Current.ExpectedUncachedMs = choice.ExpectedUncachedMs;
   Current.LoadAtSend = expectedRequests(target, now);
   Current.SentAt = now;
   noteSent(State, Steered, target, now);
@@ -171,6 +173,7 @@
   outcome.Load = load;
   outcome.Took = now - Current.SentAt;
   outcome.ExpectedMs = Current.ExpectedMs;
+  outcome.ExpectedUncachedMs = Current.ExpectedUncachedMs;
   outcome.SentAt = Current.SentAt;
   noteOutcome(State, Steered, Current.Target, outcome, now);
 }
@@ -225,7 +228,7 @@
       logEvent(EventCode::RequestRetried, {{"trace", Notes.Attempt.Value},
                                            {"target", Current.Target.Value},
                                            {"reason", std::string("failed")}});
-      send(*choice.Target, choice.ExpectedMs);
+      send(choice);
       return;
     }
   }
@@ -247,7 +250,7 @@
   if (allowed) {
     PlacementChoice choice = chooseTarget(State, Steered, now);
     if (choice.Target) {
-      send(*choice.Target, choice.ExpectedMs);
+      send(choice);
       return;
     }
   }
--- a/src/savoryvm/request_runner.h
+++ b/src/savoryvm/request_runner.h
@@ -24,12 +24,13 @@
     std::shared_ptr<HttpConnection> Connection;
     bool Reused = false;
     double ExpectedMs = 0;
+    double ExpectedUncachedMs = 0;
     double LoadAtSend = 0;
     MonoTime SentAt{};
   };
 
   void place();
-  void send(TargetState &target, double expectedMs);
+  void send(const PlacementChoice &choice);
   void onConnected(std::shared_ptr<HttpConnection> connection);
   void transmit();
   void onEnd(ExchangeEnd end, HttpMessage &response);
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -292,8 +292,9 @@
     if (it.Removed) {
       if (!State.Targets.count(id))
         continue;
-      if (lapsed || now - StoreFailedAt < LapseGrace)
-        Removals.emplace(id, now);
+      MonoTime back = lapsed ? now : StoreFailedAt;
+      if (now - back < LapseGrace)
+        Removals.emplace(id, back + LapseGrace);
       else
         removeTarget(id, "entry-removed");
       continue;
@@ -402,7 +403,7 @@
   if (now - StoreFailedAt < LapseGrace)
     return;
   for (auto it = Removals.begin(); it != Removals.end();) {
-    if (now - it->second < LapseGrace) {
+    if (now < it->second) {
       ++it;
       continue;
     }
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -79,8 +79,8 @@
   bool Accepting = true;
   bool WasReady = false;
   bool TargetsListed = false;
-  /// Targets whose entries were removed while the store was away, and since
-  /// when.
+  /// Targets whose entries were removed around an outage of the store, and by
+  /// when the entries must be back.
   std::map<TargetId, MonoTime> Removals;
   std::map<ServiceId, MonoTime> RolloutWrittenAt;
 };
