Watch longer and try unreachable targets again

Cause: entries of targets do not change with each report, so a target that was unreachable once stayed unused until its entry changed for another reason; and each registration of a VM woke the watches of all others. Change: suspension ends after 2.5 to 10 s with one request; watches wait 2 to 3 s and collect changes.

--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -16,9 +16,6 @@
 constexpr double FirstUncachedPart = 1.4;
 /// Part of one response in the smoothed work time.
 constexpr double WorkWeight = 0.05;
-/// A suspended target is tried again after this time when no newer entries
-/// can come because the store is away.
-constexpr Duration SuspensionWithoutStore = Millis(2000);
 /// Retry delay when the VM has no configuration or a service has no target.
 constexpr Duration UnknownRetryAfter = Millis(500);
 
@@ -181,8 +178,7 @@
       continue;
     if (!versions.Never.empty() && entry.Version == versions.Never)
       continue;
-    if (target.Suspended && (state.Fleet.StoreReachable ||
-                             now - target.SuspendedAt < SuspensionWithoutStore))
+    if (isSuspended(target, now))
       continue;
     if (state.Evacuated.count(entry.Zone) ||
         !regionAllowed(*request.Route, request.TeamLimits, target.Region))
--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -45,9 +45,13 @@
         ResultWeight * (std::min(relative, MaxSlowness) - slow);
   target.ResultAt = now;
   if (result == TargetResult::Unreachable) {
+    target.Suspension = std::clamp(2 * target.Suspension, FirstSuspension,
+                                   MaxSuspension);
     target.Suspended = true;
-    target.SuspendedAtSequence = target.Entry.Sequence;
-    target.SuspendedAt = now;
+    target.SuspendedUntil = now + target.Suspension;
+  } else {
+    target.Suspended = false;
+    target.Suspension = Duration::zero();
   }
 }
 
@@ -61,9 +65,7 @@
     target.OthersLast = target.OthersMean = 0;
     target.Objects.clear();
     target.Suspended = false;
-  } else if (target.Suspended &&
-             entry.Sequence > target.SuspendedAtSequence) {
-    target.Suspended = false;
+    target.Suspension = Duration::zero();
   }
   target.Entry = entry;
   if (!restarted && entry.Slots <= 0)
@@ -84,6 +86,11 @@
   target.Objects[object] = now;
 }
 
+bool isSuspended(const TargetState &target, MonoTime now) {
+  return target.Suspended &&
+         (now < target.SuspendedUntil || !target.InFlight.empty());
+}
+
 double expectedRequests(const TargetState &target, MonoTime now) {
   double fresh = remaining(now - target.ReportedAt, ReportMemory);
   return static_cast<double>(target.InFlight.size()) +
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -33,10 +33,10 @@
   MonoTime ResultAt{};
   /// Cold until then.
   MonoTime ColdUntil{};
-  /// Unreachable; unused until its entry shows that it lives.
+  /// Unreachable; unused until SuspendedUntil, then tried with one request.
   bool Suspended = false;
-  std::int64_t SuspendedAtSequence = 0;
-  MonoTime SuspendedAt{};
+  MonoTime SuspendedUntil{};
+  Duration Suspension{0};
   /// Requests that a cold target may still get from this VM.
   double WarmupTokens = 0;
   MonoTime WarmupTokensAt{};
@@ -58,6 +58,14 @@
 /// Part of one result in the smoothed failure rate and slowness.
 constexpr double ResultWeight = 0.2;
 
+/// How long an unreachable target is left alone at first and at most. A target
+/// that has started again says so within the first time, and may be cold.
+constexpr Duration FirstSuspension = Millis(2500);
+constexpr Duration MaxSuspension = Millis(10000);
+
+/// \returns whether the target must not be used because it was unreachable.
+bool isSuspended(const TargetState &target, MonoTime now);
+
 /// Takes in a load report of a response.
 /// \param target the target, with the reported request still in flight.
 /// \param load the report.
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -5,10 +5,6 @@
 namespace savorylb {
 namespace {
 
-/// How long a watch waits for a change. Connections that fell silent are
-/// noticed after this and the slack, which together stay within the time in
-/// which a configuration has to be in force.
-constexpr Millis WatchWait(1500);
 /// Longest time of one answer; a slow store takes some hundred milliseconds.
 constexpr Duration CallTimeout = Millis(900);
 constexpr Duration RetryPause = Millis(250);
@@ -16,9 +12,9 @@
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &io, const std::string &address,
-                     std::string prefix, Duration pause, Changed changed,
-                     Contact contact)
-    : Timer(io), Channel(io, address), Pause(pause),
+                     std::string prefix, Millis wait, Duration pause,
+                     Changed changed, Contact contact)
+    : Timer(io), Channel(io, address), Wait(wait), Pause(pause),
       OnChanged(std::move(changed)), OnContact(std::move(contact)) {
   Mirror.Prefix = std::move(prefix);
 }
@@ -79,8 +75,8 @@
 }
 
 void StoreSync::watch() {
-  Channel.call(platform::watchRequest(Mirror.Prefix, Mirror.Known, WatchWait),
-               Duration(WatchWait) + CallTimeout,
+  Channel.call(platform::watchRequest(Mirror.Prefix, Mirror.Known, Wait),
+               Duration(Wait) + CallTimeout,
                [this](Result<HttpMessage> response) {
                  auto page = response
                                  ? platform::readPage(response.value())
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -18,11 +18,12 @@
   /// \param io runs the calls.
   /// \param address of the store.
   /// \param prefix of the documents.
+  /// \param wait how long a watch waits for a change.
   /// \param pause between two watches; several changes come in one then.
   /// \param changed gets all changes.
   /// \param contact told after each call.
   StoreSync(asio::io_context &io, const std::string &address,
-            std::string prefix, Duration pause, Changed changed,
+            std::string prefix, Millis wait, Duration pause, Changed changed,
             Contact contact);
 
   void start() { list(""); }
@@ -41,6 +42,7 @@
   asio::steady_timer Timer;
   StoreChannel Channel;
   StoreMirror Mirror;
+  Millis Wait;
   Duration Pause;
   Changed OnChanged;
   Contact OnContact;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -18,15 +18,23 @@
 constexpr Duration TickEvery = Millis(100);
 constexpr Duration ReportEvery = Millis(1000);
 constexpr Duration ReloadEvery = Millis(2000);
-/// Targets report every one to two seconds; several reports come in one call.
-constexpr Duration TargetWatchPause = Millis(600);
-constexpr Duration NoPause = Millis(5);
+/// How long a watch waits, and the pause between two watches of one prefix, in
+/// which changes are collected. A connection that fell silent is noticed after
+/// the wait and one call's timeout. Configurations have to be in force within
+/// 2.5 s, targets that leave have to be left within 2.5 s; the entries of VMs
+/// also come from the VMs themselves.
+constexpr Millis OperatorWait(2500);
+constexpr Duration OperatorPause = Millis(150);
+constexpr Millis TargetWait(2000);
+constexpr Duration TargetPause = Millis(600);
+constexpr Millis SystemWait(3000);
+constexpr Duration SystemPause = Millis(1500);
 /// Callers ask again after this; a VM that stops is left by then.
 constexpr Duration LookupAge = Millis(2000);
 /// Without an answer for this long the store counts as unreachable.
-constexpr Duration StoreSilence = Millis(2600);
+constexpr Duration StoreSilence = Millis(3200);
 /// Without an answer for this long other VMs are asked for documents.
-constexpr Duration AskPeersAfter = Millis(1200);
+constexpr Duration AskPeersAfter = Millis(1500);
 constexpr Duration AskPeersEvery = Millis(700);
 /// Entries of targets that live are back this long after the store.
 constexpr Duration LapseGrace = Millis(2300);
@@ -105,15 +113,18 @@
               rejection),
       Link(io, State),
       Operators(
-          io, settings.StoreAddress, platform::OperatorPrefix, NoPause,
+          io, settings.StoreAddress, platform::OperatorPrefix, OperatorWait,
+          OperatorPause,
           [this](const auto &changes) { onOperatorChanges(changes); },
           [this](bool answered) { onStoreContact(answered); }),
       Targets(
-          io, settings.StoreAddress, platform::TargetPrefix, TargetWatchPause,
+          io, settings.StoreAddress, platform::TargetPrefix, TargetWait,
+          TargetPause,
           [this](const auto &changes) { onTargetChanges(changes); },
           [this](bool answered) { onStoreContact(answered); }),
       Systems(
-          io, settings.StoreAddress, platform::SystemPrefix, NoPause,
+          io, settings.StoreAddress, platform::SystemPrefix, SystemWait,
+          SystemPause,
           [this](const auto &changes) { onSystemChanges(changes); },
           [this](bool answered) { onStoreContact(answered); }),
       Registration(io, settings.StoreAddress, platform::vmKey(settings.Vm),
@@ -428,7 +439,8 @@
 }
 
 void VmDaemon::askPeer(MonoTime now) {
-  bool away = now - StoreAnsweredAt > AskPeersAfter;
+  bool away = StoreFailedAt > StoreAnsweredAt &&
+              now - StoreAnsweredAt > AskPeersAfter;
   VmEntry chosen;
   for (const auto &[vm, peer] : State.Fleet.Peers) {
     if (now - peer.HeardAt > HeardWithin)
