Keep team limits exact with one ledger a team

Ruled out: larger buckets on each VM, whose sum passes the limit on a fleet of 79. Change: one VM a team counts what all admit and tells the part to admit; the shares stay for when it is not reached.

--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -16,6 +16,8 @@
 constexpr double FirstUncachedPart = 1.4;
 /// Part of one response in the smoothed work time.
 constexpr double WorkWeight = 0.05;
+/// A team over its limit comes back no sooner.
+constexpr Duration MinLimitDelay = Millis(200);
 /// Retry delay when the VM has no configuration or a service has no target.
 constexpr Duration UnknownRetryAfter = Millis(500);
 
@@ -228,13 +230,34 @@
   double rate = team->second.RequestsPerSecond;
   if (rate <= 0)
     return {};
+  TeamGate &gate = state.Gates[request.Team];
+  gate.ArrivedAt = now;
+  gate.Unreported.Arrivals += 1;
   double own = limit.DemandPerSecond;
   double all = own + peerDemand(state.Fleet, request.Team, now);
   int vms = static_cast<int>(liveVms(state.Fleet, now).size());
   double share = shareOfLimit(own, all, vms);
-  if (takeTeamToken(limit, rate, team->second.Burst, share, now))
+  // The VM's own bucket goes on also while the ledger decides, and takes over
+  // when the ledger's VM is not reached.
+  bool hadToken =
+      takeTeamToken(limit, rate, team->second.Burst, share, now);
+  bool admitted = partValid(gate, now) ? admitByPart(gate) : hadToken;
+  if (admitted) {
+    gate.Unreported.Admitted += 1;
     return {};
-  return {429, "team-limit", teamTokenDelay(limit, rate, share)};
+  }
+  if (hadToken)
+    returnTeamToken(limit);
+  return {429, "team-limit",
+          std::max(Duration(MinLimitDelay),
+                   teamTokenDelay(limit, rate, share))};
+}
+
+void returnAdmission(SteeringState &state, const SteeredRequest &request) {
+  if (!request.TeamLimits || request.TeamLimits->RequestsPerSecond <= 0)
+    return;
+  returnTeamToken(state.Teams[request.Team]);
+  state.Gates[request.Team].Unreported.Admitted -= 1;
 }
 
 PlacementChoice chooseTarget(SteeringState &state, SteeredRequest &request,
@@ -405,6 +428,58 @@
   return !ended || service.Status.Written < service.Order->Ordered;
 }
 
+std::map<VmId, std::map<TeamId, TeamUse>> takeTeamReports(SteeringState &state,
+                                                          MonoTime now) {
+  std::map<VmId, std::map<TeamId, TeamUse>> reports;
+  std::vector<VmId> vms;
+  for (const VmEntry &it : liveVms(state.Fleet, now))
+    vms.push_back(it.Vm);
+  for (auto &[team, gate] : state.Gates) {
+    if (!reportDue(gate, now))
+      continue;
+    VmId keeper = ledgerVm(team, vms);
+    if (!keeper.empty())
+      reports[keeper][team] = takeUse(gate, now);
+  }
+  auto own = reports.find(state.Fleet.Self.Vm);
+  if (own != reports.end()) {
+    adoptTeamParts(
+        state, adoptTeamReport(state, state.Fleet.Self.Vm, own->second, now),
+        now);
+    reports.erase(own);
+  }
+  return reports;
+}
+
+std::map<TeamId, double>
+adoptTeamReport(SteeringState &state, const VmId &vm,
+                const std::map<TeamId, TeamUse> &uses, MonoTime now) {
+  std::map<TeamId, double> parts;
+  if (!state.Config)
+    return parts;
+  for (const auto &[team, use] : uses) {
+    auto rule = state.Config->Teams.find(team);
+    if (rule == state.Config->Teams.end() ||
+        rule->second.RequestsPerSecond <= 0)
+      continue;
+    TeamRate rate{rule->second.RequestsPerSecond, rule->second.Burst};
+    TeamLedger &ledger = state.Ledgers[team];
+    noteTeamUse(ledger, vm, use, rate, now);
+    parts[team] = admittedPart(ledger, rate, now);
+  }
+  return parts;
+}
+
+void adoptTeamParts(SteeringState &state,
+                    const std::map<TeamId, double> &parts, MonoTime now) {
+  for (const auto &[team, part] : parts) {
+    TeamGate &gate = state.Gates[team];
+    gate.Part = part;
+    gate.Known = true;
+    gate.HeardAt = now;
+  }
+}
+
 PeerReport makeReport(SteeringState &state, MonoTime now) {
   PeerReport report;
   report.Vm = state.Fleet.Self;
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -7,6 +7,7 @@
 #include "rollout_stage.h"
 #include "steer_config.h"
 #include "target_state.h"
+#include "team_ledger.h"
 #include "team_limit.h"
 
 #include <map>
@@ -55,6 +56,10 @@
   std::map<TargetId, TargetState> Targets;
   std::map<ServiceId, ServiceState> Services;
   std::map<TeamId, TeamLimit> Teams;
+  /// What the VMs that keep the teams' ledgers said.
+  std::map<TeamId, TeamGate> Gates;
+  /// The ledgers that this VM keeps.
+  std::map<TeamId, TeamLedger> Ledgers;
   /// Zones whose targets get nothing.
   std::set<ZoneId> Evacuated;
   FleetView Fleet;
@@ -90,6 +95,25 @@
   Duration RetryAfter{0};
 };
 
+/// Gives back what an admitted request took from its team's limit, because no
+/// target ran it.
+void returnAdmission(SteeringState &state, const SteeredRequest &request);
+
+/// Reports of teams' uses for the VMs that keep their ledgers. Those of the
+/// ledgers that this VM keeps are taken in at once.
+std::map<VmId, std::map<TeamId, TeamUse>> takeTeamReports(SteeringState &state,
+                                                          MonoTime now);
+
+/// Takes in another VM's report.
+/// \returns the part of each team's requests that it may admit.
+std::map<TeamId, double>
+adoptTeamReport(SteeringState &state, const VmId &vm,
+                const std::map<TeamId, TeamUse> &uses, MonoTime now);
+
+/// Takes in the answer to a report.
+void adoptTeamParts(SteeringState &state,
+                    const std::map<TeamId, double> &parts, MonoTime now);
+
 /// Decides by configuration, key and team limit.
 /// \param state the state; tokens are taken.
 /// \param request gets route, team and service.
--- a/src/savoryvm/peer_codec.cpp
+++ b/src/savoryvm/peer_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "json_read.h"
 
+#include <cmath>
+
 namespace savorylb {
 namespace {
 
@@ -67,6 +69,44 @@
   return readEntry(*value);
 }
 
+std::string writeTeamMessage(const TeamMessage &message) {
+  Json::Value value;
+  value["team_message"] = message.Vm.Value;
+  for (const auto &[team, use] : message.Uses) {
+    Json::Value &row = value["uses"][team.Value];
+    row.append(use.Arrivals);
+    row.append(use.Admitted);
+    row.append(static_cast<Json::Int64>(use.Span.count()));
+  }
+  for (const auto &[team, part] : message.Parts)
+    value["parts"][team.Value] = std::round(part * 1000) / 1000;
+  return writeJson(value);
+}
+
+Result<TeamMessage> readTeamMessage(const std::string &text) {
+  auto value = readObject(text);
+  if (!value || !textIn(*value, "team_message"))
+    return failure(ErrorCode::Malformed, "not a team message");
+  TeamMessage message;
+  message.Vm = VmId(*textIn(*value, "team_message"));
+  const Json::Value &uses = member(*value, "uses");
+  if (uses.isObject())
+    for (const std::string &it : uses.getMemberNames()) {
+      const Json::Value &row = uses[it];
+      if (!row.isArray() || row.size() != 3 || !row[0].isNumeric() ||
+          !row[1].isNumeric() || !row[2].isInt64())
+        return failure(ErrorCode::Malformed, "a use has another form");
+      message.Uses[TeamId(it)] = {row[0].asDouble(), row[1].asDouble(),
+                                  Duration(row[2].asInt64())};
+    }
+  const Json::Value &parts = member(*value, "parts");
+  if (parts.isObject())
+    for (const std::string &it : parts.getMemberNames())
+      if (parts[it].isNumeric())
+        message.Parts[TeamId(it)] = parts[it].asDouble();
+  return message;
+}
+
 std::string writeReport(const PeerReport &report) {
   Json::Value value = entryValue(report.Vm);
   value["draining"] = report.Draining;
--- a/src/savoryvm/peer_link.cpp
+++ b/src/savoryvm/peer_link.cpp
@@ -45,29 +45,64 @@
       addresses.insert(peer.Report.Vm.PeerAddress);
   std::vector<std::string> order(addresses.begin(), addresses.end());
   std::size_t n = std::min(order.size(), MaxReports);
-  for (std::size_t i = 0; i < n; ++i) {
-    boost::system::error_code ec;
-    Socket.send_to(asio::buffer(text),
-                   udpEndpoint(order[(Next + i) % order.size()]), 0, ec);
-    if (ec)
-      countEvent("peer_report_not_sent"); // The next round sends it again.
-  }
+  for (std::size_t i = 0; i < n; ++i)
+    sendTo(udpEndpoint(order[(Next + i) % order.size()]), text);
   Next += n;
 }
 
+void PeerLink::sendTo(const asio::ip::udp::endpoint &to,
+                      const std::string &text) {
+  boost::system::error_code ec;
+  Socket.send_to(asio::buffer(text), to, 0, ec);
+  if (ec)
+    countEvent("peer_report_not_sent"); // The next round sends it again.
+}
+
+void PeerLink::sendTeamReports() {
+  for (const auto &[vm, uses] : takeTeamReports(State, monoNow())) {
+    auto peer = State.Fleet.Peers.find(vm);
+    auto entry = State.Fleet.Registered.find(vm);
+    std::string address;
+    if (entry != State.Fleet.Registered.end())
+      address = entry->second.PeerAddress;
+    else if (peer != State.Fleet.Peers.end())
+      address = peer->second.Report.Vm.PeerAddress;
+    if (!address.empty())
+      sendTo(udpEndpoint(address),
+             writeTeamMessage({State.Fleet.Self.Vm, uses, {}}));
+  }
+}
+
+void PeerLink::onDatagram(const std::string &text) {
+  MonoTime now = monoNow();
+  auto message = readTeamMessage(text);
+  if (message) {
+    if (!message.value().Uses.empty())
+      sendTo(Sender, writeTeamMessage(
+                         {State.Fleet.Self.Vm,
+                          {},
+                          adoptTeamReport(State, message.value().Vm,
+                                          message.value().Uses, now)}));
+    adoptTeamParts(State, message.value().Parts, now);
+    return;
+  }
+  auto report = readReport(text);
+  if (report)
+    adoptReport(State, report.value(), now);
+  else
+    countEvent("peer_report_rejected");
+}
+
 void PeerLink::receive() {
   Socket.async_receive_from(
       asio::buffer(Buffer), Sender,
       [this](const boost::system::error_code &ec, std::size_t n) {
         if (ec == asio::error::operation_aborted)
           return;
-        auto report = ec ? Result<PeerReport>(
-                               failure(ErrorCode::Unavailable, ec.message()))
-                         : readReport(std::string(Buffer.data(), n));
-        if (report)
-          adoptReport(State, report.value(), monoNow());
+        if (ec)
+          countEvent("peer_receive_failed"); // The next datagram may come.
         else
-          countEvent("peer_report_rejected");
+          onDatagram(std::string(Buffer.data(), n));
         receive();
       });
 }
--- a/src/savoryvm/peer_link.h
+++ b/src/savoryvm/peer_link.h
@@ -23,8 +23,13 @@
   /// PeerCount / MaxReports rounds.
   void sendReports();
 
+  /// Sends the uses of teams to the VMs that keep their ledgers.
+  void sendTeamReports();
+
 private:
   void receive();
+  void onDatagram(const std::string &text);
+  void sendTo(const asio::ip::udp::endpoint &to, const std::string &text);
 
   SteeringState &State;
   asio::ip::udp::socket Socket;
--- a/src/savoryvm/request_runner.cpp
+++ b/src/savoryvm/request_runner.cpp
@@ -294,7 +294,7 @@
 void RequestRunner::refuse(int status, const char *reason,
                            Duration retryAfter) {
   if (TokenTaken && !MayHaveRun)
-    returnTeamToken(State.Teams[Steered.Team]);
+    returnAdmission(State, Steered);
   finish(platform::ownResponse(status, reason, retryAfter), reason, true);
 }
 
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -392,6 +392,7 @@
   applyRemovals(now);
   writeRollouts(now);
   askPeer(now);
+  Link.sendTeamReports();
   if (now - ReportedAt >= ReportEvery) {
     ReportedAt = now;
     Link.sendReports();
