--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -55,24 +55,24 @@
     if (!ec)
       self->close();
   });
-  Socket.async_connect(*endpoint, [self, done, begun](
-                                      const boost::system::error_code &ec) {
-    self->Timer.cancel();
-    if (ec || !self->Socket.is_open()) {
-      self->close();
-      done(false);
-      return;
-    }
-    boost::system::error_code ignored; // Options only tune the connection.
-    self->Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    int ms = UnackedMs;
-    setsockopt(self->Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
-               sizeof ms);
-    self->ConnectTime = monoNow() - begun;
-    self->Open = true;
-    self->readMore();
-    done(true);
-  });
+  Socket.async_connect(
+      *endpoint, [self, done, begun](const boost::system::error_code &ec) {
+        self->Timer.cancel();
+        if (ec || !self->Socket.is_open()) {
+          self->close();
+          done(false);
+          return;
+        }
+        boost::system::error_code ignored; // Options only tune the connection.
+        self->Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        int ms = UnackedMs;
+        setsockopt(self->Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   &ms, sizeof ms);
+        self->ConnectTime = monoNow() - begun;
+        self->Open = true;
+        self->readMore();
+        done(true);
+      });
 }
 
 void HttpConnection::start(Exchange exchange) {
@@ -95,8 +95,8 @@
   auto head = Current.Head;
   auto body = Current.Body;
   asio::async_write(Socket, parts,
-                    [self, serial, head, body](
-                        const boost::system::error_code &ec, std::size_t) {
+                    [self, serial, head,
+                     body](const boost::system::error_code &ec, std::size_t) {
                       if (self->Serial != serial)
                         return;
                       self->Writing = false;
--- a/src/libsavoryhttp/http_message.cpp
+++ b/src/libsavoryhttp/http_message.cpp
@@ -1,8 +1,8 @@
 #include "http_message.h"
 
 #include <algorithm>
-#include <ostream>
 #include <boost/beast/http/status.hpp>
+#include <ostream>
 #include <strings.h>
 
 namespace savorylb {
@@ -80,10 +80,10 @@
 }
 
 std::string responseHead(const HttpMessage &message, bool close, bool toHead) {
-  std::string out = "HTTP/1.1 " + std::to_string(message.Status) + ' ' +
-                    (message.Reason.empty() ? statusReason(message.Status)
-                                            : message.Reason) +
-                    "\r\n";
+  std::string out =
+      "HTTP/1.1 " + std::to_string(message.Status) + ' ' +
+      (message.Reason.empty() ? statusReason(message.Status) : message.Reason) +
+      "\r\n";
   appendFields(out, message);
   if (!toHead && statusHasBody(message.Status))
     out += "Content-Length: " + std::to_string(message.Body.size()) + "\r\n";
--- /dev/null
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -0,0 +1,122 @@
+#include "http_reader.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+constexpr std::int64_t MaxHead = 4096;
+constexpr std::int64_t MaxBody = 1 << 20;
+
+HttpReader reader(HttpReader::Kind kind) {
+  return HttpReader(kind, MaxHead, MaxBody);
+}
+
+ReadState readRequest(std::string text) {
+  HttpReader it = reader(HttpReader::Kind::Request);
+  return it.read(text);
+}
+
+} // namespace
+
+TEST_GROUP(HttpReader){};
+
+// Guards against a request that hides in another one.
+TEST(HttpReader, AmbiguousLengthsAreInvalid) {
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const char *it :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+        "Content-Length: -5\r\n\r\n", "Content-Length: 5, 6\r\n\r\nhello",
+        "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n"})
+    CHECK_TRUE(readRequest(start + it) == ReadState::Invalid);
+}
+
+// Guards against bytes of the next request that are taken away or lost.
+TEST(HttpReader, LeavesTheNextRequestInTheBuffer) {
+  std::string text = "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\n";
+  HttpReader it = reader(HttpReader::Kind::Request);
+  CHECK_TRUE(it.read(text) == ReadState::Complete);
+  STRCMP_EQUAL("/a", it.message().Path.c_str());
+  STRCMP_EQUAL("GET /b HTTP/1.1\r\n", text.c_str());
+}
+
+// Guards against a message that depends on how its bytes arrive.
+TEST(HttpReader, ReadsChunksByteByByte) {
+  HttpReader it = reader(HttpReader::Kind::Request);
+  std::string text = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n"
+                     "5\r\nhello\r\n6;x=1\r\n world\r\n0\r\n\r\n";
+  std::string buffer;
+  ReadState state = ReadState::NeedMore;
+  for (char c : text) {
+    CHECK_TRUE(state == ReadState::NeedMore);
+    buffer += c;
+    state = it.read(buffer);
+  }
+  CHECK_TRUE(state == ReadState::Complete);
+  STRCMP_EQUAL("hello world", it.message().Body.c_str());
+}
+
+// Guards against a cut response that looks complete.
+TEST(HttpReader, CutResponseIsNotComplete) {
+  for (const char *it :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Le"}) {
+    HttpReader cut = reader(HttpReader::Kind::Response);
+    std::string text = it;
+    CHECK_TRUE(cut.read(text) == ReadState::NeedMore);
+    CHECK_TRUE(cut.readEnd() == ReadState::Invalid);
+  }
+}
+
+// Guards against the loss of responses whose length is the connection's.
+TEST(HttpReader, ResponseMayEndWithItsConnection) {
+  HttpReader it = reader(HttpReader::Kind::Response);
+  std::string text = "HTTP/1.1 200 OK\r\n\r\nhello";
+  CHECK_TRUE(it.read(text) == ReadState::NeedMore);
+  CHECK_TRUE(it.readEnd() == ReadState::Complete);
+  STRCMP_EQUAL("hello", it.message().Body.c_str());
+  CHECK_FALSE(it.message().KeepAlive);
+}
+
+// Guards against messages without bound.
+TEST(HttpReader, LimitsHeadAndBody) {
+  HttpReader head = reader(HttpReader::Kind::Request);
+  std::string text = "GET /a HTTP/1.1\r\nX: " + std::string(8192, 'x');
+  CHECK_TRUE(head.read(text) == ReadState::Invalid);
+  CHECK_TRUE(head.fault() == ReadFault::HeaderTooLarge);
+  HttpReader body = reader(HttpReader::Kind::Request);
+  text = "POST /a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n";
+  CHECK_TRUE(body.read(text) == ReadState::Invalid);
+  CHECK_TRUE(body.fault() == ReadFault::BodyTooLarge);
+}
+
+TEST_GROUP(HttpMessage){};
+
+// Guards against fields of one connection that reach another one.
+TEST(HttpMessage, RemovesFieldsOfTheConnection) {
+  HttpMessage message;
+  message.Fields = {{"Host", "h"},
+                    {"connection", "close, X-Hop"},
+                    {"X-Hop", "1"},
+                    {"Keep-Alive", "timeout=5"},
+                    {"Transfer-Encoding", "chunked"},
+                    {"X-Other", "2"}};
+  removeConnectionFields(message);
+  LONGS_EQUAL(2, message.Fields.size());
+  CHECK_TRUE(findField(message, "x-other") != nullptr);
+}
+
+// Guards against two lengths in a forwarded message.
+TEST(HttpMessage, HeadTellsTheLengthOnce) {
+  HttpMessage message;
+  message.Method = "POST";
+  message.Path = "/a?b=c";
+  message.Body = "hello";
+  STRCMP_EQUAL("POST /a?b=c HTTP/1.1\r\nContent-Length: 5\r\n\r\n",
+               requestHead(message).c_str());
+}
--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -132,12 +132,12 @@
     Continued = true;
     auto text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
     auto self = shared_from_this();
-    asio::async_write(Socket, asio::buffer(*text),
-                      [self, text](const boost::system::error_code &ec,
-                                   std::size_t) {
-                        if (ec)
-                          self->close();
-                      });
+    asio::async_write(
+        Socket, asio::buffer(*text),
+        [self, text](const boost::system::error_code &ec, std::size_t) {
+          if (ec)
+            self->close();
+        });
   }
 
   void readMore() {
@@ -197,8 +197,7 @@
     Busy = false;
     --Server.Waiting;
     bool end = Server.Draining || !request->Message.KeepAlive;
-    send(std::move(response), end,
-         request->Message.Method == "HEAD");
+    send(std::move(response), end, request->Message.Method == "HEAD");
   }
 
   void reject(int status, const char *reason) {
@@ -211,8 +210,8 @@
       return;
     Writing = true;
     removeConnectionFields(response);
-    auto head = std::make_shared<std::string>(
-        responseHead(response, end, toHead));
+    auto head =
+        std::make_shared<std::string>(responseHead(response, end, toHead));
     auto body = std::make_shared<std::string>(
         toHead ? std::string() : std::move(response.Body));
     std::array<asio::const_buffer, 2> parts = {asio::buffer(*head),
--- a/src/libsavorysteer/fleet_view.cpp
+++ b/src/libsavorysteer/fleet_view.cpp
@@ -23,14 +23,13 @@
       others[vm] = peer.Report.Vm;
   for (const auto &[vm, entry] : view.Registered) {
     auto it = view.Peers.find(vm);
-    bool known = it != view.Peers.end() &&
-                 it->second.Report.Vm.Start == entry.Start;
+    bool known =
+        it != view.Peers.end() && it->second.Report.Vm.Start == entry.Start;
     if (known && it->second.Report.Draining)
       continue;
     // Entries are as old as the last answer of the store; without it only
     // what was heard counts.
-    if (!view.StoreReachable && known &&
-        now - it->second.HeardAt > HeardWithin)
+    if (!view.StoreReachable && known && now - it->second.HeardAt > HeardWithin)
       continue;
     others[vm] = entry;
   }
--- /dev/null
+++ b/src/libsavorysteer/fleet_view_test.cpp
@@ -0,0 +1,93 @@
+#include "fleet_view.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace savorylb;
+
+namespace {
+
+constexpr MonoTime Start{Seconds(100)};
+
+VmEntry vm(const std::string &name, const std::string &zone,
+           const std::string &region) {
+  return {VmId(name),   ZoneId(zone),   RegionId(region),
+          name + ":80", name + ":7000", "start-1"};
+}
+
+FleetView makeView() {
+  FleetView view;
+  view.Self = vm("self", "tema-a", "tema");
+  view.StoreReachable = true;
+  for (const VmEntry &it :
+       {vm("a2", "tema-a", "tema"), vm("b1", "tema-b", "tema"),
+        vm("e1", "elm-a", "elmina")})
+    view.Registered[it.Vm] = it;
+  return view;
+}
+
+void hear(FleetView &view, const VmEntry &entry, bool draining, MonoTime at) {
+  PeerReport report;
+  report.Vm = entry;
+  report.Draining = draining;
+  view.Peers[entry.Vm] = {report, at};
+}
+
+bool named(const std::vector<std::string> &addresses, const std::string &it) {
+  return std::find(addresses.begin(), addresses.end(), it) != addresses.end();
+}
+
+} // namespace
+
+TEST_GROUP(FleetView){};
+
+// Guards against callers sent to other zones, or left with one VM.
+TEST(FleetView, NamesTheZoneOrElseTheRegion) {
+  FleetView view = makeView();
+  auto inZone =
+      lookupAddresses(view, ZoneId("tema-a"), RegionId("tema"), Start);
+  LONGS_EQUAL(2, inZone.size());
+  auto inRegion =
+      lookupAddresses(view, ZoneId("tema-b"), RegionId("tema"), Start);
+  LONGS_EQUAL(3, inRegion.size());
+  auto other =
+      lookupAddresses(view, ZoneId("tkd-a"), RegionId("takoradi"), Start);
+  LONGS_EQUAL(4, other.size());
+}
+
+// Guards against a VM that is named while it stops.
+TEST(FleetView, StoppingVmIsNotNamed) {
+  FleetView view = makeView();
+  hear(view, view.Registered[VmId("a2")], true, Start);
+  auto found = lookupAddresses(view, ZoneId("tema-a"), RegionId("tema"), Start);
+  CHECK_FALSE(named(found, "a2:80"));
+  view.SelfDraining = true;
+  found = lookupAddresses(view, ZoneId("tema-a"), RegionId("tema"), Start);
+  CHECK_FALSE(named(found, "self:80"));
+}
+
+// Guards against dead VMs that stay named because the store, which would
+// remove their entries, is away.
+TEST(FleetView, WithoutTheStoreOnlyHeardVmsAreNamed) {
+  FleetView view = makeView();
+  hear(view, view.Registered[VmId("a2")], false, Start);
+  MonoTime later = Start + HeardWithin + Millis(100);
+  CHECK_TRUE(
+      named(lookupAddresses(view, ZoneId("tema-a"), RegionId("tema"), later),
+            "a2:80"));
+  view.StoreReachable = false;
+  CHECK_FALSE(
+      named(lookupAddresses(view, ZoneId("tema-a"), RegionId("tema"), later),
+            "a2:80"));
+}
+
+// Guards against the demand of a VM behind a partition being given away.
+TEST(FleetView, DemandOfASilentVmCountsForSomeTime) {
+  FleetView view = makeView();
+  PeerReport report;
+  report.Vm = view.Registered[VmId("a2")];
+  report.Demand[TeamId("port")] = 7;
+  view.Peers[report.Vm.Vm] = {report, Start};
+  DOUBLES_EQUAL(7, peerDemand(view, TeamId("port"), Start + Seconds(9)), 0.01);
+  DOUBLES_EQUAL(0, peerDemand(view, TeamId("port"), Start + Seconds(11)), 0.01);
+}
--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -50,8 +50,7 @@
 }
 
 Estimate estimate(const PlacementRequest &request,
-                  const PlacementCandidate &candidate, int rank,
-                  MonoTime now) {
+                  const PlacementCandidate &candidate, int rank, MonoTime now) {
   const TargetState &target = *candidate.Target;
   double slots = std::max(1, target.Entry.Slots);
   double there = expectedRequests(target, now);
@@ -59,8 +58,8 @@
   bool known = knownCached(target, request.Object, now);
   bool cached = !request.Object.empty() && (rank >= 0 || known);
   double work = slow * (cached ? request.CachedMs : request.UncachedMs);
-  double queued = std::max(0.0, there + 1 - slots) / slots * slow *
-                  request.CachedMs;
+  double queued =
+      std::max(0.0, there + 1 - slots) / slots * slow * request.CachedMs;
   Estimate result;
   result.FreeSlot = there + 1 <= slots;
   result.LatencyMs = candidate.RoundTripMs + work + queued;
@@ -73,8 +72,8 @@
       result.LatencyMs + slow * std::max(0.0, request.UncachedMs) - work;
   double busy = std::min(1.0, there / slots);
   result.Cost = result.LatencyMs +
-                request.CachedMs * (BusyCost * busy * busy +
-                                    RankCost * std::max(0, rank)) +
+                request.CachedMs *
+                    (BusyCost * busy * busy + RankCost * std::max(0, rank)) +
                 FailureCostMs * currentFailureRate(target, now);
   if (target.Entry.Zone != request.Zone)
     result.Cost += CrossZoneMsPerKilobyte *
@@ -113,10 +112,10 @@
     else
       far = std::max(far, it);
   }
-  std::size_t copies = std::min(
-      {near.size(), MaxCopies,
-       std::max<std::size_t>(1, (near.size() + TargetsPerCopy / 2) /
-                                    TargetsPerCopy)});
+  std::size_t copies =
+      std::min({near.size(), MaxCopies,
+                std::max<std::size_t>(1, (near.size() + TargetsPerCopy / 2) /
+                                             TargetsPerCopy)});
   std::partial_sort(near.begin(), near.begin() + static_cast<long>(copies),
                     near.end(), std::greater<>());
   for (std::size_t i = 0; i < copies; ++i)
@@ -153,8 +152,8 @@
   }
   choice.ExpectedMs = best.LatencyMs;
   choice.ExpectedUncachedMs = best.UncachedMs;
-  double part = std::max(MinQueueBound,
-                         QueueBound - PriorityStep * request.Priority);
+  double part =
+      std::max(MinQueueBound, QueueBound - PriorityStep * request.Priority);
   double boundMs = part * static_cast<double>(request.LatencyTarget.count()) -
                    toMs(request.Elapsed);
   bool inTime = best.LatencyMs <= boundMs;
@@ -167,8 +166,8 @@
   choice.Reason = "overload";
   auto wait = Duration(static_cast<Duration::rep>(
       std::max(0.0, leastQueue - std::max(0.0, boundMs)) * 1000.0));
-  choice.RetryAfter = std::clamp(wait, Duration(MinRetryAfter),
-                                 Duration(MaxRetryAfter));
+  choice.RetryAfter =
+      std::clamp(wait, Duration(MinRetryAfter), Duration(MaxRetryAfter));
   return choice;
 }
 
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -76,9 +76,8 @@
 /// \param region the region that the requests come from.
 /// \param candidates the targets in use.
 /// \returns for each candidate its rank, or -1 when it should not.
-std::vector<int>
-objectRanks(const std::string &object, const RegionId &region,
-            const std::vector<PlacementCandidate> &candidates);
+std::vector<int> objectRanks(const std::string &object, const RegionId &region,
+                             const std::vector<PlacementCandidate> &candidates);
 
 /// \returns whether this VM has lately seen the target handle the object.
 bool knownCached(const TargetState &target, const std::string &object,
--- /dev/null
+++ b/src/libsavorysteer/placement_policy_test.cpp
@@ -0,0 +1,249 @@
+#include "placement_policy.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <list>
+#include <queue>
+#include <random>
+#include <set>
+
+using namespace savorylb;
+
+namespace {
+
+constexpr MonoTime Start{Seconds(100)};
+constexpr double UncachedWorkMs = 360;
+constexpr double CachedWorkMs = 108;
+constexpr Millis Aim(250);
+constexpr int Regions = 3;
+
+std::vector<TargetState> makeTargets(int n, int slots) {
+  std::vector<TargetState> targets(static_cast<std::size_t>(n));
+  for (int i = 0; i < n; ++i) {
+    TargetState &it = targets[static_cast<std::size_t>(i)];
+    it.Entry.Id = TargetId("i-" + std::to_string(i));
+    it.Entry.Slots = slots;
+    it.Region = RegionId("region-" + std::to_string(i % Regions));
+    it.Entry.Zone = ZoneId(it.Region.Value + "-a");
+  }
+  return targets;
+}
+
+std::vector<PlacementCandidate> candidatesOf(std::vector<TargetState> &targets,
+                                             const RegionId &region) {
+  std::vector<PlacementCandidate> found;
+  for (TargetState &it : targets)
+    found.push_back({&it, it.Region == region ? 1.0 : 40.0});
+  return found;
+}
+
+PlacementRequest makeRequest(const std::string &object, int region) {
+  PlacementRequest request;
+  request.Object = object;
+  request.Region = RegionId("region-" + std::to_string(region));
+  request.Zone = ZoneId(request.Region.Value + "-a");
+  request.LatencyTarget = Aim;
+  request.Left = Seconds(2);
+  request.CachedMs = CachedWorkMs;
+  request.UncachedMs = UncachedWorkMs;
+  return request;
+}
+
+/// A target that processes requests in order and caches the objects that it
+/// handled last.
+struct PlayedTarget {
+  std::vector<MonoTime> SlotFree;
+  std::list<std::string> Cache;
+  std::size_t Keeps = 48;
+
+  bool handle(const std::string &object) {
+    auto it = std::find(Cache.begin(), Cache.end(), object);
+    bool cached = it != Cache.end();
+    if (cached)
+      Cache.erase(it);
+    Cache.push_front(object);
+    if (Cache.size() > Keeps)
+      Cache.pop_back();
+    return cached;
+  }
+};
+
+struct Played {
+  int Sent = 0;
+  int InTime = 0;
+  int Refused = 0;
+  int Late = 0;
+};
+
+/// Plays one VM's view of tile reads: every region reads its own 66 objects.
+/// \param perSecond requests a second in all regions.
+/// \param byLoadOnly places on the target with the fewest requests instead.
+Played play(double perSecond, bool byLoadOnly) {
+  std::vector<TargetState> targets = makeTargets(16, 4);
+  std::vector<PlayedTarget> played(16);
+  for (PlayedTarget &it : played)
+    it.SlotFree.assign(4, Start);
+  using End = std::pair<MonoTime, std::pair<std::size_t, MonoTime>>;
+  std::priority_queue<End, std::vector<End>, std::greater<>> ends;
+  std::mt19937_64 random(7);
+  std::exponential_distribution<double> gap(perSecond);
+  Played result;
+  MonoTime now = Start;
+  while (now < Start + Seconds(40)) {
+    now += Duration(static_cast<Duration::rep>(gap(random) * 1e6));
+    while (!ends.empty() && ends.top().first <= now) {
+      auto [at, which] = ends.top();
+      ends.pop();
+      auto &flying = targets[which.first].InFlight;
+      flying.erase(std::find(flying.begin(), flying.end(), which.second));
+    }
+    int region = static_cast<int>(random() % Regions);
+    std::string object =
+        std::to_string(region * 1000 + static_cast<int>(random() % 66));
+    PlacementRequest request = makeRequest(object, region);
+    auto candidates = candidatesOf(targets, request.Region);
+    PlacementChoice choice;
+    if (byLoadOnly)
+      choice.Target = std::min_element(candidates.begin(), candidates.end(),
+                                       [](const auto &a, const auto &b) {
+                                         return a.Target->InFlight.size() <
+                                                b.Target->InFlight.size();
+                                       })
+                          ->Target;
+    else
+      choice = placeRequest(request, candidates, now);
+    bool counted = now > Start + Seconds(10);
+    result.Sent += counted;
+    if (!choice.Target) {
+      result.Refused += counted;
+      continue;
+    }
+    std::size_t i = static_cast<std::size_t>(choice.Target - targets.data());
+    bool cached = played[i].handle(object);
+    auto slot =
+        std::min_element(played[i].SlotFree.begin(), played[i].SlotFree.end());
+    MonoTime begun = std::max(*slot, now);
+    *slot = begun + Duration(static_cast<Duration::rep>(
+                        1000 * (cached ? CachedWorkMs : UncachedWorkMs)));
+    choice.Target->InFlight.push_back(now);
+    ends.push({*slot, {i, now}});
+    noteObject(*choice.Target, object, now);
+    Duration away =
+        choice.Target->Region == request.Region ? Millis(1) : Millis(40);
+    bool inTime = *slot + away - now <= Aim;
+    result.InTime += counted && inTime;
+    result.Late += counted && !inTime;
+  }
+  return result;
+}
+
+} // namespace
+
+TEST_GROUP(PlacementPolicy){};
+
+// Guards against caches that every object passes through: uncached, the load
+// is one and a half times the slots; cached, half of them. Nine in ten must
+// then be in time.
+TEST(PlacementPolicy, TileReadsFitWhenObjectsStayOnFewTargets) {
+  Played placed = play(267, false);
+  Played byLoad = play(267, true);
+  CHECK_TRUE(placed.InTime > 0.9 * placed.Sent);
+  CHECK_TRUE(placed.InTime > 2 * byLoad.InTime);
+}
+
+// Guards against queues that make all requests late when the load is twice the
+// slots also with cached objects: what is served must be in time, and the
+// slots must not idle.
+TEST(PlacementPolicy, OverloadIsRefusedAndTheRestIsInTime) {
+  Played placed = play(1200, false);
+  CHECK_TRUE(placed.Refused > 0.3 * placed.Sent);
+  CHECK_TRUE(placed.InTime > 0.9 * (placed.InTime + placed.Late));
+  CHECK_TRUE(placed.InTime > 0.4 * placed.Sent);
+}
+
+// Guards against a refusal that is held back, or that names no time.
+TEST(PlacementPolicy, RefusalSaysWhenToComeBack) {
+  std::vector<TargetState> targets = makeTargets(2, 1);
+  for (TargetState &it : targets)
+    it.InFlight.assign(8, Start);
+  PlacementRequest request = makeRequest("7", 0);
+  PlacementChoice choice =
+      placeRequest(request, candidatesOf(targets, request.Region), Start);
+  POINTERS_EQUAL(nullptr, choice.Target);
+  STRCMP_EQUAL("overload", choice.Reason);
+  CHECK_TRUE(choice.RetryAfter >= Millis(100));
+}
+
+// Guards against a route that is never served because its first estimate is
+// longer than its deadline, seen on routes without a latency target.
+TEST(PlacementPolicy, FreeSlotIsUsedWhateverTheEstimate) {
+  std::vector<TargetState> targets = makeTargets(2, 4);
+  PlacementRequest request = makeRequest("", 0);
+  request.UncachedMs = 5000;
+  PlacementChoice choice =
+      placeRequest(request, candidatesOf(targets, request.Region), Start);
+  CHECK_TRUE(choice.Target != nullptr);
+}
+
+// Guards against less urgent requests that push out more urgent ones.
+TEST(PlacementPolicy, LessUrgentRequestsAreRefusedAtShorterQueues) {
+  std::vector<TargetState> targets = makeTargets(1, 4);
+  int urgent = 0;
+  int other = 0;
+  for (int queue = 0; queue < 16; ++queue) {
+    targets[0].InFlight.assign(static_cast<std::size_t>(queue), Start);
+    PlacementRequest request = makeRequest("7", 0);
+    auto candidates = candidatesOf(targets, request.Region);
+    request.Priority = 0;
+    urgent += placeRequest(request, candidates, Start).Target != nullptr;
+    request.Priority = 3;
+    other += placeRequest(request, candidates, Start).Target != nullptr;
+  }
+  CHECK_TRUE(urgent > other);
+}
+
+// Guards against requests that wait behind a target which stopped answering.
+TEST(PlacementPolicy, StuckTargetIsLeft) {
+  std::vector<TargetState> targets = makeTargets(4, 4);
+  PlacementRequest request = makeRequest("7", 0);
+  auto candidates = candidatesOf(targets, request.Region);
+  TargetState *first = placeRequest(request, candidates, Start).Target;
+  first->InFlight.push_back(Start);
+  PlacementChoice later =
+      placeRequest(request, candidates, Start + Millis(1500));
+  CHECK_TRUE(later.Target != nullptr);
+  CHECK_TRUE(later.Target != first);
+}
+
+// Guards against a second send to a target that already refused.
+TEST(PlacementPolicy, TriedTargetsAreNotTakenAgain) {
+  std::vector<TargetState> targets = makeTargets(2, 4);
+  PlacementRequest request = makeRequest("7", 0);
+  auto candidates = candidatesOf(targets, request.Region);
+  for (int i = 0; i < 2; ++i) {
+    PlacementChoice choice = placeRequest(request, candidates, Start);
+    CHECK_TRUE(choice.Target != nullptr);
+    request.Tried.push_back(choice.Target->Entry.Id);
+  }
+  STRCMP_EQUAL("no-target", placeRequest(request, candidates, Start).Reason);
+}
+
+// Guards against objects that move when another target comes or goes.
+TEST(PlacementPolicy, ObjectsOfTheOtherTargetsStay) {
+  std::vector<TargetState> targets = makeTargets(12, 4);
+  auto firstOf = [&](std::size_t n, const std::string &object) {
+    std::vector<TargetState> some(targets.begin(),
+                                  targets.begin() + static_cast<long>(n));
+    auto candidates = candidatesOf(some, RegionId("region-0"));
+    std::vector<int> ranks =
+        objectRanks(object, RegionId("region-0"), candidates);
+    auto it = std::find(ranks.begin(), ranks.end(), 0);
+    return some[static_cast<std::size_t>(it - ranks.begin())].Entry.Id;
+  };
+  int moved = 0;
+  for (int i = 0; i < 400; ++i)
+    moved += firstOf(12, std::to_string(i)) != firstOf(9, std::to_string(i));
+  // One of four targets of the region left; only its objects move.
+  CHECK_TRUE(moved > 50);
+  CHECK_TRUE(moved < 150);
+}
--- a/src/libsavorysteer/rollout_stage.cpp
+++ b/src/libsavorysteer/rollout_stage.cpp
@@ -29,9 +29,9 @@
   bool fails = now.Failures >= MinBad &&
                rate(now.Failures, now.Responses) >
                    rate(before.Failures, before.Responses) + FailureGap;
-  bool slow = now.Slow >= MinBad &&
-              rate(now.Slow, now.Responses) >
-                  rate(before.Slow, before.Responses) + SlowGap;
+  bool slow =
+      now.Slow >= MinBad && rate(now.Slow, now.Responses) >
+                                rate(before.Slow, before.Responses) + SlowGap;
   return fails || slow;
 }
 
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -72,8 +72,8 @@
     return -1;
   if (knownCached(target, request.Object, now))
     return tookMs / outcome.ExpectedMs;
-  return std::max(1.0, tookMs / std::max(outcome.ExpectedMs,
-                                         outcome.ExpectedUncachedMs));
+  return std::max(
+      1.0, tookMs / std::max(outcome.ExpectedMs, outcome.ExpectedUncachedMs));
 }
 
 /// Draws a split so that each gets its part over few requests.
@@ -155,23 +155,22 @@
 
 void keepFew(std::vector<PlacementCandidate> &candidates) {
   std::size_t n = std::max<std::size_t>(
-      1, static_cast<std::size_t>(TrialTargets *
-                                  static_cast<double>(candidates.size()) +
-                                  0.5));
+      1, static_cast<std::size_t>(
+             TrialTargets * static_cast<double>(candidates.size()) + 0.5));
   // Targets come in the order of their ids, which is the same on all VMs.
   if (candidates.size() > n)
     candidates.resize(n);
 }
 
-std::vector<PlacementCandidate>
-findCandidates(SteeringState &state, const SteeredRequest &request,
-               const VersionRule &versions, MonoTime now) {
+std::vector<PlacementCandidate> findCandidates(SteeringState &state,
+                                               const SteeredRequest &request,
+                                               const VersionRule &versions,
+                                               MonoTime now) {
   std::vector<PlacementCandidate> found;
   std::vector<WarmupSender> senders;
   auto rule = request.Config->Services.find(request.Service);
-  double perSecond = rule == request.Config->Services.end()
-                         ? 0
-                         : rule->second.WarmupPerSecond;
+  double perSecond =
+      rule == request.Config->Services.end() ? 0 : rule->second.WarmupPerSecond;
   for (auto &[id, target] : state.Targets) {
     const TargetEntry &entry = target.Entry;
     if (entry.Service != request.Service || entry.Draining)
@@ -239,8 +238,7 @@
   double share = shareOfLimit(own, all, vms);
   // The VM's own bucket goes on also while the ledger decides, and takes over
   // when the ledger's VM is not reached.
-  bool hadToken =
-      takeTeamToken(limit, rate, team->second.Burst, share, now);
+  bool hadToken = takeTeamToken(limit, rate, team->second.Burst, share, now);
   bool admitted = partValid(gate, now) ? admitByPart(gate) : hadToken;
   if (admitted) {
     gate.Unreported.Admitted += 1;
@@ -248,9 +246,9 @@
   }
   if (hadToken)
     returnTeamToken(limit);
-  return {429, "team-limit",
-          std::max(Duration(MinLimitDelay),
-                   teamTokenDelay(limit, rate, share))};
+  return {
+      429, "team-limit",
+      std::max(Duration(MinLimitDelay), teamTokenDelay(limit, rate, share))};
 }
 
 void returnAdmission(SteeringState &state, const SteeredRequest &request) {
@@ -306,8 +304,8 @@
     TargetState &known = found->second;
     if (outcome.Load)
       noteLoad(known, *outcome.Load, now);
-    auto sent = std::find(known.InFlight.begin(), known.InFlight.end(),
-                          outcome.SentAt);
+    auto sent =
+        std::find(known.InFlight.begin(), known.InFlight.end(), outcome.SentAt);
     if (sent != known.InFlight.end())
       known.InFlight.erase(sent);
     double tookMs = static_cast<double>(outcome.Took.count()) / 1000.0;
@@ -321,12 +319,11 @@
       noteObject(known, request.Object, now);
     }
     if (rolloutRuns(service) && outcome.Result != TargetResult::Shed &&
-        outcome.Result != TargetResult::Unreachable &&
-        now >= known.ColdUntil) {
+        outcome.Result != TargetResult::Unreachable && now >= known.ColdUntil) {
       RouteTally &tally = service.Evidence[request.Route->Id];
-      VersionTally &version =
-          known.Entry.Version == service.Order->Version ? tally.Candidate
-                                                        : tally.Baseline;
+      VersionTally &version = known.Entry.Version == service.Order->Version
+                                  ? tally.Candidate
+                                  : tally.Baseline;
       ++version.Responses;
       if (outcome.Result == TargetResult::Failed)
         ++version.Failures;
@@ -352,8 +349,8 @@
   if (first)
     return;
   // A short time is the path's; a long one may be the target's queue.
-  it->second = ms < it->second ? ms
-                               : it->second + RoundTripWeight * (ms - it->second);
+  it->second =
+      ms < it->second ? ms : it->second + RoundTripWeight * (ms - it->second);
 }
 
 bool adoptConfig(SteeringState &state, SteerConfig config) {
@@ -451,9 +448,9 @@
   return reports;
 }
 
-std::map<TeamId, double>
-adoptTeamReport(SteeringState &state, const VmId &vm,
-                const std::map<TeamId, TeamUse> &uses, MonoTime now) {
+std::map<TeamId, double> adoptTeamReport(SteeringState &state, const VmId &vm,
+                                         const std::map<TeamId, TeamUse> &uses,
+                                         MonoTime now) {
   std::map<TeamId, double> parts;
   if (!state.Config)
     return parts;
@@ -470,8 +467,8 @@
   return parts;
 }
 
-void adoptTeamParts(SteeringState &state,
-                    const std::map<TeamId, double> &parts, MonoTime now) {
+void adoptTeamParts(SteeringState &state, const std::map<TeamId, double> &parts,
+                    MonoTime now) {
   for (const auto &[team, part] : parts) {
     TeamGate &gate = state.Gates[team];
     gate.Part = part;
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -106,13 +106,13 @@
 
 /// Takes in another VM's report.
 /// \returns the part of each team's requests that it may admit.
-std::map<TeamId, double>
-adoptTeamReport(SteeringState &state, const VmId &vm,
-                const std::map<TeamId, TeamUse> &uses, MonoTime now);
+std::map<TeamId, double> adoptTeamReport(SteeringState &state, const VmId &vm,
+                                         const std::map<TeamId, TeamUse> &uses,
+                                         MonoTime now);
 
 /// Takes in the answer to a report.
-void adoptTeamParts(SteeringState &state,
-                    const std::map<TeamId, double> &parts, MonoTime now);
+void adoptTeamParts(SteeringState &state, const std::map<TeamId, double> &parts,
+                    MonoTime now);
 
 /// Decides by configuration, key and team limit.
 /// \param state the state; tokens are taken.
--- /dev/null
+++ b/src/libsavorysteer/steering_state_test.cpp
@@ -0,0 +1,214 @@
+#include "steering_state.h"
+
+#include <CppUTest/TestHarness.h>
+#include <set>
+
+using namespace savorylb;
+
+namespace {
+
+constexpr MonoTime Start{Seconds(100)};
+const ServiceId Tiles("tiles");
+
+SteerConfig makeConfig(std::int64_t version) {
+  SteerConfig config;
+  config.Version = version;
+  RouteRule route;
+  route.Id = RouteId("r-tiles");
+  route.Host = "maps.example";
+  route.PathPrefix = "/tiles/";
+  route.Repeat = RepeatRule::Repeatable;
+  route.Timeout = Millis(2000);
+  route.LatencyTarget = Millis(250);
+  route.MaxTargets = 2;
+  route.Splits = {{Tiles, 1}};
+  config.Routes = {route};
+  config.Services[Tiles] = {360, Millis(3000), 9.3};
+  config.Teams[TeamId("port")] = {-1, 0, 0, {}};
+  config.Keys["key-1"] = TeamId("port");
+  config.KeysRequired = true;
+  return config;
+}
+
+TargetEntry target(const std::string &id, const std::string &zone,
+                   const std::string &version) {
+  TargetEntry entry;
+  entry.Id = TargetId(id);
+  entry.Address = "10.0.0.1:80";
+  entry.Zone = ZoneId(zone);
+  entry.Service = Tiles;
+  entry.Version = VersionId(version);
+  entry.Slots = 4;
+  return entry;
+}
+
+SteeringState makeState() {
+  SteeringState state;
+  state.Zones = {{ZoneId("tema-a"), RegionId("tema")},
+                 {ZoneId("elm-a"), RegionId("elmina")}};
+  state.Fleet.Self.Vm = VmId("vm-1");
+  state.Fleet.Self.Zone = ZoneId("tema-a");
+  state.Fleet.Self.Region = RegionId("tema");
+  state.Fleet.StoreReachable = true;
+  adoptConfig(state, makeConfig(5));
+  adoptTarget(state, target("i-1", "tema-a", "v1"), Start);
+  adoptTarget(state, target("i-2", "elm-a", "v1"), Start);
+  return state;
+}
+
+SteeredRequest makeRequest(MonoTime now) {
+  SteeredRequest request;
+  request.ArrivedAt = now;
+  request.Deadline = now + Seconds(2);
+  return request;
+}
+
+int admit(SteeringState &state, const std::string &path, const std::string &key,
+          MonoTime now = Start) {
+  SteeredRequest request = makeRequest(now);
+  return admitRequest(state, request, "maps.example", path, key, now).Status;
+}
+
+/// \returns the version of the target that a fresh request gets.
+std::string versionAt(SteeringState &state, MonoTime now) {
+  SteeredRequest request = makeRequest(now);
+  admitRequest(state, request, "maps.example", "/tiles/1", "key-1", now);
+  PlacementChoice choice = chooseTarget(state, request, now);
+  return choice.Target ? choice.Target->Entry.Version.Value : "none";
+}
+
+} // namespace
+
+TEST_GROUP(SteeringState){};
+
+// Guards against a 404 or 401 from a VM that does not know the configuration.
+TEST(SteeringState, WithoutConfigurationRequestsAreRefused) {
+  SteeringState state;
+  LONGS_EQUAL(503, admit(state, "/tiles/1", "key-1"));
+}
+
+// Guards against requests without a right to run, and refusals of others.
+TEST(SteeringState, RouteAndKeyDecide) {
+  SteeringState state = makeState();
+  LONGS_EQUAL(0, admit(state, "/tiles/1", "key-1"));
+  LONGS_EQUAL(401, admit(state, "/tiles/1", "key-2"));
+  LONGS_EQUAL(401, admit(state, "/tiles/1", ""));
+  LONGS_EQUAL(404, admit(state, "/none/1", "key-1"));
+}
+
+// Guards against a configuration that reverts when an older one arrives late.
+TEST(SteeringState, OlderConfigurationIsNotAdopted) {
+  SteeringState state = makeState();
+  CHECK_FALSE(adoptConfig(state, makeConfig(4)));
+  CHECK_FALSE(adoptConfig(state, makeConfig(5)));
+  CHECK_TRUE(adoptConfig(state, makeConfig(9)));
+  LONGS_EQUAL(9, state.Config->Version);
+}
+
+// Guards against requests to a new version before its rollout is ordered, and
+// after it was taken back.
+TEST(SteeringState, NewVersionIsUsedOnlyByItsRollout) {
+  SteeringState state = makeState();
+  STRCMP_EQUAL("v1", versionAt(state, Start).c_str());
+  adoptTarget(state, target("i-3", "tema-a", "v2"), Start);
+  adoptTarget(state, target("i-4", "elm-a", "v2"), Start);
+  for (int i = 0; i < 50; ++i)
+    STRCMP_EQUAL("v1", versionAt(state, Start).c_str());
+  adoptOrder(state, {Tiles, VersionId("v2"), Seconds(14), Revision(20)}, Start);
+  int tried = 0;
+  for (int i = 0; i < 100; ++i)
+    tried += versionAt(state, Start + Seconds(2)) == "v2";
+  LONGS_EQUAL(6, tried);
+  state.Services[Tiles].CandidateBad = true;
+  for (int i = 0; i < 50; ++i)
+    STRCMP_EQUAL("v1", versionAt(state, Start + Seconds(13)).c_str());
+  adoptStatus(state, Tiles,
+              {RolloutState::RolledBack, VersionId("v2"), Revision(25)});
+  STRCMP_EQUAL("v1", versionAt(state, Start + Seconds(13)).c_str());
+}
+
+// Guards against requests to the old targets after they were stopped.
+TEST(SteeringState, CompletedRolloutUsesOnlyTheNewVersion) {
+  SteeringState state = makeState();
+  adoptTarget(state, target("i-3", "tema-a", "v2"), Start);
+  adoptOrder(state, {Tiles, VersionId("v2"), Seconds(14), Revision(20)}, Start);
+  adoptStatus(state, Tiles,
+              {RolloutState::Completed, VersionId("v2"), Revision(30)});
+  for (int i = 0; i < 50; ++i)
+    STRCMP_EQUAL("v2", versionAt(state, Start).c_str());
+  // A new order for the version counts more than the status before it.
+  adoptOrder(state, {Tiles, VersionId("v3"), Seconds(14), Revision(40)}, Start);
+  CHECK_TRUE(rolloutRuns(state.Services[Tiles]));
+}
+
+// Guards against a verdict that only the VM which saw the failures acts on.
+TEST(SteeringState, VerdictOfAnotherVmCounts) {
+  SteeringState state = makeState();
+  adoptOrder(state, {Tiles, VersionId("v2"), Seconds(14), Revision(20)}, Start);
+  PeerReport report;
+  report.Vm.Vm = VmId("vm-2");
+  report.Rollouts[Tiles] = {Revision(20), Seconds(3), true, {}};
+  adoptReport(state, report, Start);
+  CHECK_TRUE(state.Services[Tiles].CandidateBad);
+  // It was ordered three seconds ago; this VM saw it only now.
+  CHECK_TRUE(state.Services[Tiles].OrderedAt == Start - Seconds(3));
+  auto changes = reviewRollouts(state, Start);
+  LONGS_EQUAL(1, changes.size());
+  CHECK_TRUE(changes[0].State == RolloutState::RolledBack);
+}
+
+// Guards against requests to a zone that is emptied, and against a rush to its
+// cold targets afterwards.
+TEST(SteeringState, EvacuatedZoneGetsNothingAndComesBackCold) {
+  SteeringState state = makeState();
+  startEvacuation(state, ZoneId("tema-a"));
+  for (int i = 0; i < 20; ++i) {
+    SteeredRequest request = makeRequest(Start);
+    admitRequest(state, request, "maps.example", "/tiles/1", "key-1", Start);
+    PlacementChoice choice = chooseTarget(state, request, Start);
+    STRCMP_EQUAL("i-2", choice.Target->Entry.Id.Value.c_str());
+  }
+  endEvacuation(state, ZoneId("tema-a"), Start);
+  int sent = 0;
+  for (MonoTime now = Start; now < Start + Seconds(1); now += Millis(5)) {
+    SteeredRequest request = makeRequest(now);
+    admitRequest(state, request, "maps.example", "/tiles/1", "key-1", now);
+    PlacementChoice choice = chooseTarget(state, request, now);
+    if (choice.Target && choice.Target->Entry.Id == TargetId("i-1")) {
+      noteSent(state, request, *choice.Target, now);
+      choice.Target->InFlight.clear();
+      ++sent;
+    }
+  }
+  CHECK_TRUE(sent <= 9.3 * 1.5 + 5);
+}
+
+// Guards against parts of a split that drift from their weights.
+TEST(SteeringState, SplitKeepsItsWeights) {
+  SteeringState state = makeState();
+  SteerConfig config = makeConfig(6);
+  config.Routes[0].Splits = {{Tiles, 90}, {ServiceId("other"), 10}};
+  adoptConfig(state, config);
+  int other = 0;
+  for (int i = 0; i < 200; ++i) {
+    SteeredRequest request = makeRequest(Start);
+    admitRequest(state, request, "maps.example", "/tiles/1", "key-1", Start);
+    other += request.Service == ServiceId("other");
+  }
+  LONGS_EQUAL(20, other);
+}
+
+// Guards against a third target, and repeats without allowance.
+TEST(SteeringState, RepeatsStayWithinTargetsAndAllowance) {
+  SteeringState state = makeState();
+  state.Bounds.Repeats.Slack = 100;
+  SteeredRequest request = makeRequest(Start);
+  admitRequest(state, request, "maps.example", "/tiles/1", "key-1", Start);
+  request.Tried = {TargetId("i-1")};
+  CHECK_TRUE(mayRepeat(state, request, Start));
+  request.Tried = {TargetId("i-1"), TargetId("i-2")};
+  CHECK_FALSE(mayRepeat(state, request, Start));
+  state.Bounds.Repeats.Slack = 0;
+  request.Tried = {TargetId("i-1")};
+  CHECK_FALSE(mayRepeat(state, request, Start));
+}
--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 void noteLoad(TargetState &target, const TargetLoad &load, MonoTime now) {
-  double others = load.Running + load.Waiting -
-                  static_cast<double>(target.InFlight.size());
+  double others =
+      load.Running + load.Waiting - static_cast<double>(target.InFlight.size());
   target.OthersLast = std::max(0.0, others);
   target.OthersMean += OthersWeight * (target.OthersLast - target.OthersMean);
   target.ReportedAt = now;
@@ -41,12 +41,11 @@
   target.FailureRate = rate + ResultWeight * ((bad ? 1.0 : 0.0) - rate);
   target.Slowness = slow;
   if (relative >= 0)
-    target.Slowness +=
-        ResultWeight * (std::min(relative, MaxSlowness) - slow);
+    target.Slowness += ResultWeight * (std::min(relative, MaxSlowness) - slow);
   target.ResultAt = now;
   if (result == TargetResult::Unreachable) {
-    target.Suspension = std::clamp(2 * target.Suspension, FirstSuspension,
-                                   MaxSuspension);
+    target.Suspension =
+        std::clamp(2 * target.Suspension, FirstSuspension, MaxSuspension);
     target.Suspended = true;
     target.SuspendedUntil = now + target.Suspension;
   } else {
--- /dev/null
+++ b/src/libsavorysteer/target_state_test.cpp
@@ -0,0 +1,81 @@
+#include "target_state.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+constexpr MonoTime Start{Seconds(100)};
+
+TargetState makeTarget() {
+  TargetState target;
+  target.Entry.Id = TargetId("i-1");
+  target.Entry.Address = "10.0.0.1:80";
+  target.Entry.Slots = 4;
+  target.Entry.Birth = 7;
+  return target;
+}
+
+} // namespace
+
+TEST_GROUP(TargetState){};
+
+// Guards against a target that stays unused after one lost connection: its
+// entry does not change while it lives on.
+TEST(TargetState, IsTriedAgainAfterItWasUnreachable) {
+  TargetState target = makeTarget();
+  noteResult(target, TargetResult::Unreachable, -1, Start);
+  CHECK_TRUE(isSuspended(target, Start + Seconds(1)));
+  MonoTime later = Start + FirstSuspension;
+  CHECK_FALSE(isSuspended(target, later));
+  // One request at a time, until one was answered.
+  target.InFlight.push_back(later);
+  CHECK_TRUE(isSuspended(target, later));
+  noteResult(target, TargetResult::Answered, 1, later);
+  CHECK_FALSE(isSuspended(target, later));
+}
+
+// Guards against many requests lost to a target that never comes back.
+TEST(TargetState, SuspensionsGrowUpToABound) {
+  TargetState target = makeTarget();
+  MonoTime now = Start;
+  for (int i = 0; i < 8; ++i) {
+    noteResult(target, TargetResult::Unreachable, -1, now);
+    now = target.SuspendedUntil;
+  }
+  CHECK_TRUE(target.Suspension == MaxSuspension);
+}
+
+// Guards against what was learned of an earlier start under the same id.
+TEST(TargetState, ForgetsAnEarlierStart) {
+  TargetState target = makeTarget();
+  noteResult(target, TargetResult::Unreachable, -1, Start);
+  noteObject(target, "map-7", Start);
+  TargetEntry entry = target.Entry;
+  entry.Birth = 8;
+  entry.WarmupLeft = Millis(3000);
+  noteEntry(target, entry, Start + Seconds(1));
+  CHECK_FALSE(isSuspended(target, Start + Seconds(1)));
+  CHECK_TRUE(target.Objects.empty());
+  CHECK_TRUE(target.ColdUntil == Start + Seconds(4));
+}
+
+// Guards against counting this VM's own requests twice.
+TEST(TargetState, LoadOfOthersLeavesOutOwnRequests) {
+  TargetState target = makeTarget();
+  target.InFlight = {Start, Start};
+  noteLoad(target, {3, 2, 4}, Start);
+  DOUBLES_EQUAL(5, expectedRequests(target, Start), 0.01);
+  target.InFlight.clear();
+  DOUBLES_EQUAL(3, expectedRequests(target, Start), 0.01);
+}
+
+// Guards against a target that is avoided for good after a few failures.
+TEST(TargetState, FailuresAreForgottenWithTime) {
+  TargetState target = makeTarget();
+  for (int i = 0; i < 20; ++i)
+    noteResult(target, TargetResult::Failed, -1, Start);
+  CHECK_TRUE(currentFailureRate(target, Start) > 0.9);
+  CHECK_TRUE(currentFailureRate(target, Start + 4 * ResultMemory) < 0.05);
+}
--- a/src/libsavorysteer/team_ledger.cpp
+++ b/src/libsavorysteer/team_ledger.cpp
@@ -70,8 +70,7 @@
   TeamLedger::Sender &sender = ledger.Senders[vm];
   double span = std::max(0.02, seconds(use.Span));
   double keep = std::exp(-span / RateMemorySeconds);
-  sender.PerSecond =
-      keep * sender.PerSecond + (1 - keep) * use.Arrivals / span;
+  sender.PerSecond = keep * sender.PerSecond + (1 - keep) * use.Arrivals / span;
   sender.At = now;
 }
 
--- a/src/libsavorysteer/team_limit.h
+++ b/src/libsavorysteer/team_limit.h
@@ -21,8 +21,8 @@
 /// Part of the mean demand that each VM is given beyond its own, so that a
 /// caller who comes to another VM finds tokens there.
 constexpr double DemandFloor = 0.2;
-/// Part of the burst that a VM has when it starts. While it was away it admitted
-/// nothing, which makes up for what it used before.
+/// Part of the burst that a VM has when it starts. While it was away it
+/// admitted nothing, which makes up for what it used before.
 constexpr double StartPart = 0.8;
 /// Tokens that a VM may hold at least, else a small share admits nothing.
 constexpr double MinCapacity = 1.5;
--- a/src/libsavorysteer/warmup_gate.cpp
+++ b/src/libsavorysteer/warmup_gate.cpp
@@ -14,7 +14,8 @@
 constexpr double WarmupBurst = 2;
 
 double tokensAt(const TargetState &target, double perSecond, MonoTime now) {
-  double span = static_cast<double>((now - target.WarmupTokensAt).count()) / 1e6;
+  double span =
+      static_cast<double>((now - target.WarmupTokensAt).count()) / 1e6;
   return std::min(WarmupBurst,
                   target.WarmupTokens + SenderPart * perSecond * span);
 }
--- /dev/null
+++ b/src/savoryvm/peer_codec_test.cpp
@@ -0,0 +1,56 @@
+#include "peer_codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+TEST_GROUP(PeerCodec){};
+
+// Guards against reports that another VM reads otherwise.
+TEST(PeerCodec, ReportIsReadAsWritten) {
+  PeerReport report;
+  report.Vm = {VmId("vm-1"),     ZoneId("tema-a"), RegionId("tema"),
+               "127.0.0.1:8001", "127.0.0.1:8004", "s1"};
+  report.Draining = true;
+  report.Documents = Revision(77);
+  report.Demand[TeamId("port")] = 12.5;
+  report.Rollouts[ServiceId("tiles")] = {
+      Revision(70),
+      Millis(2500),
+      true,
+      {{RouteId("r"), {{5, 2, 1}, {9, 0, 0}}}}};
+  auto read = readReport(writeReport(report));
+  CHECK_TRUE(read.has_value());
+  const PeerReport &other = read.value();
+  STRCMP_EQUAL("s1", other.Vm.Start.c_str());
+  CHECK_TRUE(other.Draining);
+  LONGS_EQUAL(77, other.Documents.Value);
+  DOUBLES_EQUAL(12.5, other.Demand.at(TeamId("port")), 0.01);
+  const PeerReport::Rollout &rollout = other.Rollouts.at(ServiceId("tiles"));
+  CHECK_TRUE(rollout.Bad);
+  CHECK_TRUE(rollout.Elapsed == Duration(Millis(2500)));
+  LONGS_EQUAL(2, rollout.Evidence.at(RouteId("r")).Candidate.Failures);
+}
+
+// Guards against other datagrams that are taken for messages of a VM.
+TEST(PeerCodec, OtherTextIsRejected) {
+  for (const char *it : {"", "{}", "[1]", "{\"vm\":5}", "\x01\x02"}) {
+    CHECK_FALSE(readReport(it).has_value());
+    CHECK_FALSE(readTeamMessage(it).has_value());
+  }
+  CHECK_FALSE(
+      readTeamMessage("{\"team_message\":\"vm-1\",\"uses\":{\"port\":[1,2]}}")
+          .has_value());
+}
+
+// Guards against uses of a team that get lost on the way.
+TEST(PeerCodec, TeamMessageIsReadAsWritten) {
+  TeamMessage message;
+  message.Vm = VmId("vm-1");
+  message.Uses[TeamId("port")] = {7, 5, Millis(100)};
+  message.Parts[TeamId("dock")] = 0.25;
+  auto read = readTeamMessage(writeTeamMessage(message));
+  CHECK_TRUE(read.has_value());
+  DOUBLES_EQUAL(5, read.value().Uses.at(TeamId("port")).Admitted, 0.01);
+  DOUBLES_EQUAL(0.25, read.value().Parts.at(TeamId("dock")), 0.001);
+}
--- a/src/savoryvm/peer_link.cpp
+++ b/src/savoryvm/peer_link.cpp
@@ -78,11 +78,11 @@
   auto message = readTeamMessage(text);
   if (message) {
     if (!message.value().Uses.empty())
-      sendTo(Sender, writeTeamMessage(
-                         {State.Fleet.Self.Vm,
-                          {},
-                          adoptTeamReport(State, message.value().Vm,
-                                          message.value().Uses, now)}));
+      sendTo(Sender,
+             writeTeamMessage({State.Fleet.Self.Vm,
+                               {},
+                               adoptTeamReport(State, message.value().Vm,
+                                               message.value().Uses, now)}));
     adoptTeamParts(State, message.value().Parts, now);
     return;
   }
--- a/src/savoryvm/request_runner.cpp
+++ b/src/savoryvm/request_runner.cpp
@@ -51,9 +51,8 @@
   Steered.Deadline =
       Steered.ArrivedAt +
       (Notes.Patience ? Duration(*Notes.Patience) : DefaultPatience);
-  Admission admission =
-      admitRequest(State, Steered, hostName(Request->Message),
-                   Request->Message.Path, Notes.Key, now);
+  Admission admission = admitRequest(State, Steered, hostName(Request->Message),
+                                     Request->Message.Path, Notes.Key, now);
   if (admission.Status != 0) {
     refuse(admission.Status, admission.Reason, admission.RetryAfter);
     return;
@@ -133,8 +132,8 @@
   outgoing.Path = Request->Message.Path;
   outgoing.Fields = Request->Message.Fields;
   auto left = std::chrono::duration_cast<Millis>(Steered.Deadline - now);
-  platform::writeTargetNotes(outgoing, {Current.Target, Steered.Team,
-                                        std::max(Millis(1), left)});
+  platform::writeTargetNotes(
+      outgoing, {Current.Target, Steered.Team, std::max(Millis(1), left)});
   // The head tells the body's length; the body itself is sent from the
   // caller's message.
   outgoing.Body = Request->Message.Body;
@@ -148,8 +147,8 @@
   bool reused = Current.Reused;
   exchange.Match = [attempt, reused](const HttpMessage &response) {
     platform::TargetReply reply = platform::readTargetReply(response);
-    bool other = !attempt.empty() && !reply.Attempt.empty() &&
-                 reply.Attempt != attempt;
+    bool other =
+        !attempt.empty() && !reply.Attempt.empty() && reply.Attempt != attempt;
     // Without an id on a used connection it may be a late second response to
     // an earlier request.
     bool unclear = reply.Attempt.empty() && reused && !attempt.empty();
@@ -220,8 +219,8 @@
   bool failed = response.Status >= 500;
   noteEnd(failed ? TargetResult::Failed : TargetResult::Answered,
           response.Status, reply.Load);
-  if (failed && Steered.Route->Repeat == RepeatRule::Repeatable &&
-      !expired() && mayRepeat(State, Steered, monoNow())) {
+  if (failed && Steered.Route->Repeat == RepeatRule::Repeatable && !expired() &&
+      mayRepeat(State, Steered, monoNow())) {
     MonoTime now = monoNow();
     PlacementChoice choice = chooseTarget(State, Steered, now);
     if (choice.Target) {
@@ -318,29 +317,25 @@
   EventCode code = !own                      ? EventCode::RequestDone
                    : refused || status < 500 ? EventCode::RequestRefused
                                              : EventCode::RequestUnknown;
-  const char *outcome = !own      ? "done"
-                        : refused ? "not-run"
-                                  : "unknown";
+  const char *outcome = !own ? "done" : refused ? "not-run" : "unknown";
   std::string route = Steered.Route ? Steered.Route->Id.Value : "";
-  logEvent(code,
-           {{"trace", Notes.Attempt.Value},
-            {"route", route},
-            {"service", Steered.Service.Value},
-            {"team", Steered.Team.Value},
-            {"target", Current.Target.Value},
-            {"version", Current.Version.Value},
-            {"status", static_cast<std::int64_t>(status)},
-            {"reason", std::string(reason)},
-            {"sends", static_cast<std::int64_t>(TimesSent)},
-            {"config",
-             Steered.Config ? Steered.Config->Version : std::int64_t(0)},
-            {"object", Steered.Object},
-            {"expected_ms", Current.ExpectedMs},
-            {"load_at_send", Current.LoadAtSend},
-            {"load_now", loadOf(State, Current.Target, now)},
-            {"total_us", total.count()}});
-  Duration atTarget =
-      TimesSent > 0 ? now - Current.SentAt : Duration::zero();
+  logEvent(code, {{"trace", Notes.Attempt.Value},
+                  {"route", route},
+                  {"service", Steered.Service.Value},
+                  {"team", Steered.Team.Value},
+                  {"target", Current.Target.Value},
+                  {"version", Current.Version.Value},
+                  {"status", static_cast<std::int64_t>(status)},
+                  {"reason", std::string(reason)},
+                  {"sends", static_cast<std::int64_t>(TimesSent)},
+                  {"config",
+                   Steered.Config ? Steered.Config->Version : std::int64_t(0)},
+                  {"object", Steered.Object},
+                  {"expected_ms", Current.ExpectedMs},
+                  {"load_at_send", Current.LoadAtSend},
+                  {"load_now", loadOf(State, Current.Target, now)},
+                  {"total_us", total.count()}});
+  Duration atTarget = TimesSent > 0 ? now - Current.SentAt : Duration::zero();
   countRequest(Steered.Team.Value, Steered.Service.Value,
                State.Fleet.Self.Region.Value, outcome, reason, total,
                total - atTarget);
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -45,44 +45,42 @@
 void StoreSync::list(const std::string &after) {
   if (after.empty())
     Listed = platform::StorePage();
-  Channel.call(
-      platform::listRequest(Mirror.Prefix, after), CallTimeout,
-      [this, after](Result<HttpMessage> response) {
-        auto page = response ? platform::readPage(response.value())
-                             : Result<platform::StorePage>(failure(
-                                   response.error().Code,
-                                   response.error().Message));
-        if (!page) {
-          failed(page.error());
-          return;
-        }
-        // Later pages may hold newer documents; changes since the first page
-        // come with the watch.
-        if (after.empty())
-          Listed.Read = page.value().Read;
-        for (auto &it : page.value().Items)
-          Listed.Items.push_back(std::move(it));
-        if (page.value().More && !Listed.Items.empty()) {
-          list(Listed.Items.back().Key);
-          return;
-        }
-        NeedsList = false;
-        OnContact(true);
-        OnChanged(applyList(Mirror, Listed));
-        Mirror.Known = Listed.Read;
-        watch();
-      });
+  Channel.call(platform::listRequest(Mirror.Prefix, after), CallTimeout,
+               [this, after](Result<HttpMessage> response) {
+                 auto page = response ? platform::readPage(response.value())
+                                      : Result<platform::StorePage>(
+                                            failure(response.error().Code,
+                                                    response.error().Message));
+                 if (!page) {
+                   failed(page.error());
+                   return;
+                 }
+                 // Later pages may hold newer documents; changes since the
+                 // first page come with the watch.
+                 if (after.empty())
+                   Listed.Read = page.value().Read;
+                 for (auto &it : page.value().Items)
+                   Listed.Items.push_back(std::move(it));
+                 if (page.value().More && !Listed.Items.empty()) {
+                   list(Listed.Items.back().Key);
+                   return;
+                 }
+                 NeedsList = false;
+                 OnContact(true);
+                 OnChanged(applyList(Mirror, Listed));
+                 Mirror.Known = Listed.Read;
+                 watch();
+               });
 }
 
 void StoreSync::watch() {
   Channel.call(platform::watchRequest(Mirror.Prefix, Mirror.Known, Wait),
                Duration(Wait) + CallTimeout,
                [this](Result<HttpMessage> response) {
-                 auto page = response
-                                 ? platform::readPage(response.value())
-                                 : Result<platform::StorePage>(
-                                       failure(response.error().Code,
-                                               response.error().Message));
+                 auto page = response ? platform::readPage(response.value())
+                                      : Result<platform::StorePage>(
+                                            failure(response.error().Code,
+                                                    response.error().Message));
                  if (!page) {
                    failed(page.error());
                    return;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -97,20 +97,23 @@
                    std::string settingsFile)
     : Io(io), Settings(settings), SettingsFile(std::move(settingsFile)),
       State(initialState(settings)), Pool(io, MaxResponseBytes),
-      Callers(io, [this](const auto &request) { serveCaller(request); },
-              rejection),
-      Readiness(io, [this](const auto &request) { serveReadiness(request); },
-                rejection),
-      Lookups(io, [this](const auto &request) { serveLookup(request); },
-              rejection),
-      Peers(io, [this](const auto &request) { servePeer(request); }, rejection),
-      Metrics(io,
-              [](const auto &request) {
-                HttpMessage response = jsonResponse(200, renderMetrics());
-                response.Fields = {{"Content-Type", "text/plain"}};
-                request->Respond(std::move(response));
-              },
-              rejection),
+      Callers(
+          io, [this](const auto &request) { serveCaller(request); }, rejection),
+      Readiness(
+          io, [this](const auto &request) { serveReadiness(request); },
+          rejection),
+      Lookups(
+          io, [this](const auto &request) { serveLookup(request); }, rejection),
+      Peers(
+          io, [this](const auto &request) { servePeer(request); }, rejection),
+      Metrics(
+          io,
+          [](const auto &request) {
+            HttpMessage response = jsonResponse(200, renderMetrics());
+            response.Fields = {{"Content-Type", "text/plain"}};
+            request->Respond(std::move(response));
+          },
+          rejection),
       Link(io, State),
       Operators(
           io, settings.StoreAddress, platform::OperatorPrefix, OperatorWait,
@@ -134,20 +137,18 @@
 }
 
 bool VmDaemon::start() {
-  bool bound = Callers.listen(Settings.CallerAddress) &&
-               Readiness.listen(Settings.ReadyAddress) &&
-               Lookups.listen(Settings.LookupAddress) &&
-               Peers.listen(peerAddress(Settings)) &&
-               Link.open(peerAddress(Settings)) &&
-               Metrics.listen(Settings.Address + ":" +
-                              std::to_string(MetricsPort));
+  bool bound =
+      Callers.listen(Settings.CallerAddress) &&
+      Readiness.listen(Settings.ReadyAddress) &&
+      Lookups.listen(Settings.LookupAddress) &&
+      Peers.listen(peerAddress(Settings)) && Link.open(peerAddress(Settings)) &&
+      Metrics.listen(Settings.Address + ":" + std::to_string(MetricsPort));
   if (!bound)
     return false;
   openEventStream(Settings.Vm.Value, LinesPerSecond);
-  logEvent(EventCode::DaemonStarted,
-           {{"incarnation", State.Fleet.Self.Start},
-            {"zone", Settings.Zone.Value},
-            {"address", Settings.CallerAddress}});
+  logEvent(EventCode::DaemonStarted, {{"incarnation", State.Fleet.Self.Start},
+                                      {"zone", Settings.Zone.Value},
+                                      {"address", Settings.CallerAddress}});
   StoreAnsweredAt = monoNow();
   Operators.start();
   Targets.start();
@@ -174,8 +175,9 @@
 
 void VmDaemon::serveReadiness(const std::shared_ptr<ServedRequest> &request) {
   bool known = platform::isReadinessCheck(request->Message);
-  request->Respond(known && ready() ? jsonResponse(200, "{}")
-                                    : rejection(known ? 503 : 404, "not-ready"));
+  request->Respond(known && ready()
+                       ? jsonResponse(200, "{}")
+                       : rejection(known ? 503 : 404, "not-ready"));
 }
 
 void VmDaemon::serveLookup(const std::shared_ptr<ServedRequest> &request) {
@@ -184,8 +186,8 @@
     request->Respond(rejection(404, "no-such-call"));
     return;
   }
-  auto addresses = lookupAddresses(State.Fleet, question->Zone,
-                                   question->Region, monoNow());
+  auto addresses =
+      lookupAddresses(State.Fleet, question->Zone, question->Region, monoNow());
   countEvent("lookups");
   request->Respond(platform::lookupResponse(
       addresses, std::min(LookupAge, Duration(Settings.LookupMaxAge))));
@@ -321,10 +323,9 @@
     }
     auto known = State.Targets.find(id);
     bool added = known == State.Targets.end();
-    bool left = !added && !known->second.Entry.Draining &&
-                entry.value().Draining;
-    bool restarted =
-        !added && known->second.Entry.Birth != entry.value().Birth;
+    bool left =
+        !added && !known->second.Entry.Draining && entry.value().Draining;
+    bool restarted = !added && known->second.Entry.Birth != entry.value().Birth;
     if (restarted)
       Pool.drop(id);
     adoptTarget(State, entry.value(), now);
@@ -336,8 +337,8 @@
                 {"version", entry.value().Version.Value},
                 {"cold_ms", entry.value().WarmupLeft.count()}});
     if (left)
-      logEvent(EventCode::TargetDown, {{"target", id.Value},
-                                       {"reason", std::string("draining")}});
+      logEvent(EventCode::TargetDown,
+               {{"target", id.Value}, {"reason", std::string("draining")}});
   }
 }
 
@@ -349,16 +350,16 @@
       VmId vm(name.Subject);
       if (vm == State.Fleet.Self.Vm)
         continue;
-      auto entry = it.Removed ? Result<VmEntry>(
-                                    failure(ErrorCode::NotFound, "removed"))
-                              : readVmEntry(it.Value);
+      auto entry =
+          it.Removed ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
+                     : readVmEntry(it.Value);
       if (entry) {
         State.Fleet.Registered[vm] = entry.value();
         logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
       } else {
         State.Fleet.Registered.erase(vm);
-        logEvent(EventCode::PeerDown, {{"peer", vm.Value},
-                                       {"reason", entry.error().Message}});
+        logEvent(EventCode::PeerDown,
+                 {{"peer", vm.Value}, {"reason", entry.error().Message}});
       }
     } else if (name.Kind == platform::DocumentKind::RolloutStatus &&
                !it.Removed) {
@@ -440,8 +441,8 @@
 }
 
 void VmDaemon::askPeer(MonoTime now) {
-  bool away = StoreFailedAt > StoreAnsweredAt &&
-              now - StoreAnsweredAt > AskPeersAfter;
+  bool away =
+      StoreFailedAt > StoreAnsweredAt && now - StoreAnsweredAt > AskPeersAfter;
   VmEntry chosen;
   for (const auto &[vm, peer] : State.Fleet.Peers) {
     if (now - peer.HeardAt > HeardWithin)
@@ -463,20 +464,21 @@
   request.Path = std::string("/documents/") + platform::OperatorPrefix;
   std::string peer = chosen.Vm.Value;
   bool targetsToo = away;
-  PeerChannel->call(request, Seconds(1), [this, peer, targetsToo](
-                                             Result<HttpMessage> response) {
-    PeerAsked = false;
-    adoptFromPeer(peer, platform::OperatorPrefix, response);
-    if (!targetsToo || !response)
-      return;
-    HttpMessage more;
-    more.Method = "GET";
-    more.Path = std::string("/documents/") + platform::TargetPrefix;
-    PeerChannel->call(more, Seconds(1),
-                      [this, peer](Result<HttpMessage> answer) {
-                        adoptFromPeer(peer, platform::TargetPrefix, answer);
-                      });
-  });
+  PeerChannel->call(
+      request, Seconds(1),
+      [this, peer, targetsToo](Result<HttpMessage> response) {
+        PeerAsked = false;
+        adoptFromPeer(peer, platform::OperatorPrefix, response);
+        if (!targetsToo || !response)
+          return;
+        HttpMessage more;
+        more.Method = "GET";
+        more.Path = std::string("/documents/") + platform::TargetPrefix;
+        PeerChannel->call(more, Seconds(1),
+                          [this, peer](Result<HttpMessage> answer) {
+                            adoptFromPeer(peer, platform::TargetPrefix, answer);
+                          });
+      });
 }
 
 void VmDaemon::adoptFromPeer(const std::string &peer, const std::string &prefix,
@@ -491,8 +493,7 @@
              {{"key", prefix}, {"findings", page.error().Message}});
     return;
   }
-  StoreSync &sync =
-      prefix == platform::OperatorPrefix ? Operators : Targets;
+  StoreSync &sync = prefix == platform::OperatorPrefix ? Operators : Targets;
   if (page.value().Read <= sync.mirror().Known)
     return;
   sync.adopt(page.value());
--- a/src/savoryvm/vm_settings.cpp
+++ b/src/savoryvm/vm_settings.cpp
@@ -70,11 +70,11 @@
 }
 
 const std::set<std::string> KnownNames = {
-    "vm",          "zone",          "region",        "address",
-    "zones",       "caller_address", "ready_address", "lookup_address",
-    "peer_port",   "store_address", "min_lease",     "memory_mb",
-    "open_files",  "lookup_max_age", "stop_grace",    "drain_time",
-    "repeat_ratio", "repeat_window", "repeat_slack",  "region_shift",
+    "vm",           "zone",           "region",        "address",
+    "zones",        "caller_address", "ready_address", "lookup_address",
+    "peer_port",    "store_address",  "min_lease",     "memory_mb",
+    "open_files",   "lookup_max_age", "stop_grace",    "drain_time",
+    "repeat_ratio", "repeat_window",  "repeat_slack",  "region_shift",
     "trial_share"};
 
 } // namespace
--- /dev/null
+++ b/src/savoryvm/vm_settings_test.cpp
@@ -0,0 +1,48 @@
+#include "vm_settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+const std::string Good = R"(// Comment.
+{
+  "vm": "vm-1", "zone": "tema-a", "region": "tema", "address": "127.0.0.1",
+  "zones": {"tema-a": "tema", "elm-a": "elmina"},
+  "caller_address": "127.0.0.1:8001", "ready_address": "127.0.0.1:8002",
+  "lookup_address": "127.0.0.1:8003", "peer_port": "8004",
+  "store_address": "127.0.0.1:8005", "min_lease": "1000ms", "memory_mb": "260",
+  "repeat_ratio": "0.2", "repeat_window": "10s", "repeat_slack": "60"
+})";
+
+} // namespace
+
+TEST_GROUP(VmSettings){};
+
+// Guards against settings that are read wrongly.
+TEST(VmSettings, ReadsSettings) {
+  Findings findings;
+  VmSettings settings = readVmSettings("f", Good, findings);
+  LONGS_EQUAL(0, findings.size());
+  STRCMP_EQUAL("elmina", settings.Zones[ZoneId("elm-a")].Value.c_str());
+  LONGS_EQUAL(8004, settings.PeerPort);
+  CHECK_TRUE(settings.RepeatWindow == Millis(10000));
+  DOUBLES_EQUAL(60, settings.RepeatSlack, 0.01);
+}
+
+// Guards against mistakes that show one by one, or without their place.
+TEST(VmSettings, FindsAllMistakesTogether) {
+  std::string text = Good;
+  text.replace(text.find("127.0.0.1:8001"), 14, "127.0.0.1");
+  text.replace(text.find("\"10s\""), 5, "\"10\"");
+  text.replace(text.find("\"8004\""), 6, "\"-\"");
+  text.replace(text.find("memory_mb"), 9, "memory_gb");
+  Findings findings;
+  readVmSettings("f", text, findings);
+  LONGS_EQUAL(5, findings.size()); // The port is no number and no port.
+  CHECK_TRUE(findings[0].Line > 1);
+  findings.clear();
+  readVmSettings("f", "{", findings);
+  LONGS_EQUAL(1, findings.size());
+}
