--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -185,6 +185,11 @@
       if (self && self->Busy && self->Request == which.lock())
         self->respond(std::move(response));
     };
+    Request->Abort = [weak, which] {
+      auto self = weak.lock();
+      if (self && self->Busy && self->Request == which.lock())
+        self->close();
+    };
     readMore();
     // The handler may answer at once.
     auto request = Request;
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -21,6 +21,8 @@
   MonoTime ArrivedAt{};
   /// Sends the response; has no effect after the client has gone.
   std::function<void(HttpMessage)> Respond;
+  /// Ends the connection without a response.
+  std::function<void()> Abort;
   /// Called once if the client goes before the response.
   std::function<void()> OnGone;
 };
--- a/src/savoryvm/main.cpp
+++ b/src/savoryvm/main.cpp
@@ -1,3 +1,4 @@
+#include "savorylb/event_log.h"
 #include "settings_path.h"
 #include "vm_daemon.h"
 
@@ -11,6 +12,8 @@
 
 constexpr int BadSettings = 2;
 constexpr int CannotListen = 3;
+/// Lines on served requests a second; several times the usual load of a VM.
+constexpr int LinesPerSecond = 200;
 
 } // namespace
 
@@ -35,6 +38,7 @@
     return 0;
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context io(1);
+  savorylb::openEventStream(settings.Vm.Value, LinesPerSecond);
   savorylb::VmDaemon daemon(io, settings, file);
   if (!daemon.start()) {
     std::cerr << "cannot listen on the addresses of " << file << "\n";
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -50,7 +50,6 @@
 /// A rollout's change is not written again before its answer is known.
 constexpr Duration RolloutWriteEvery = Millis(1200);
 constexpr int MetricsPort = 9464;
-constexpr int LinesPerSecond = 200;
 
 HttpMessage rejection(int status, const char *reason) {
   return platform::ownResponse(status, reason, Duration::zero());
@@ -145,7 +144,6 @@
       Metrics.listen(Settings.Address + ":" + std::to_string(MetricsPort));
   if (!bound)
     return false;
-  openEventStream(Settings.Vm.Value, LinesPerSecond);
   logEvent(EventCode::DaemonStarted, {{"incarnation", State.Fleet.Self.Start},
                                       {"zone", Settings.Zone.Value},
                                       {"address", Settings.CallerAddress}});
--- /dev/null
+++ b/src/standins/platform/platform_caller.cpp
@@ -0,0 +1,71 @@
+#include "platform_caller.h"
+
+#include "savorylb/clock.h"
+
+namespace savorylb::standin {
+namespace {
+
+constexpr std::int64_t MaxBody = 1 << 20;
+constexpr Duration ConnectTimeout = Seconds(1);
+
+HttpMessage wireRequest(const CallerRequest &request) {
+  HttpMessage message;
+  message.Method = request.Method;
+  message.Path = request.Path;
+  message.Body = request.Body;
+  message.Fields = {
+      {"Host", request.Host},
+      {"Savorylb-Attempt-Id", request.Attempt},
+      {"Savorylb-Deadline-Milliseconds",
+       std::to_string(request.Patience.count())},
+      {"Cookie", "Savorylb-Affinity-Key=" + request.Object}};
+  if (!request.Key.empty())
+    message.Fields.emplace_back("Authorization", "Token " + request.Key);
+  return message;
+}
+
+} // namespace
+
+bool promised(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::shared_ptr<HttpConnection>
+callVm(asio::io_context &io, const std::string &address,
+       const CallerRequest &request,
+       const std::function<void(const CallerResult &)> &done) {
+  auto connection = std::make_shared<HttpConnection>(io, MaxBody);
+  MonoTime begun = monoNow();
+  connection->connect(
+      address, ConnectTimeout,
+      [connection, request, done, begun](bool connected) {
+        if (!connected) {
+          done({});
+          return;
+        }
+        HttpMessage message = wireRequest(request);
+        Exchange exchange;
+        exchange.Head = std::make_shared<std::string>(requestHead(message));
+        exchange.Body = std::make_shared<std::string>(message.Body);
+        exchange.Timeout = Duration(request.Patience) + Duration(Seconds(1));
+        exchange.Done = [connection, done, begun](ExchangeEnd end,
+                                                  HttpMessage &response) {
+          CallerResult result;
+          result.Took = monoNow() - begun;
+          if (end == ExchangeEnd::Answered) {
+            result.Status = response.Status;
+            result.Signed =
+                findField(response, "Savorylb-Server-Signature") != nullptr;
+            result.Body = response.Body;
+            if (const std::string *after = findField(response, "Retry-After"))
+              result.RetryAfter = *after;
+          }
+          connection->close();
+          done(result);
+        };
+        connection->start(std::move(exchange));
+      });
+  return connection;
+}
+
+} // namespace savorylb::standin
--- /dev/null
+++ b/src/standins/platform/platform_caller.h
@@ -0,0 +1,45 @@
+#ifndef SAVORYLB_PLATFORM_CALLER_H
+#define SAVORYLB_PLATFORM_CALLER_H
+
+#include "http_connection.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace savorylb::standin {
+
+/// One request as a caller of the platform sends it.
+struct CallerRequest {
+  std::string Method = "GET";
+  std::string Host = "maps.example";
+  std::string Path = "/tiles/1";
+  std::string Key = "key-1";
+  std::string Object = "17";
+  std::string Attempt;
+  std::string Body;
+  Millis Patience{2000};
+};
+
+/// How it ended. Status 0 means that the connection ended without a response.
+struct CallerResult {
+  int Status = 0;
+  bool Signed = false;
+  std::string Body;
+  std::string RetryAfter;
+  Duration Took{0};
+};
+
+/// Sends a request on a connection of its own.
+/// \returns the connection, to leave early.
+std::shared_ptr<HttpConnection>
+callVm(asio::io_context &io, const std::string &address,
+       const CallerRequest &request,
+       const std::function<void(const CallerResult &)> &done);
+
+/// \returns whether a status promises that the request does not run.
+bool promised(int status);
+
+} // namespace savorylb::standin
+
+#endif // SAVORYLB_PLATFORM_CALLER_H
--- /dev/null
+++ b/src/standins/platform/platform_target.cpp
@@ -0,0 +1,97 @@
+#include "platform_target.h"
+
+#include "json_read.h"
+
+namespace savorylb::standin {
+namespace {
+
+constexpr int Slots = 4;
+
+std::string field(const HttpMessage &message, const char *name) {
+  const std::string *found = findField(message, name);
+  return found ? *found : "";
+}
+
+} // namespace
+
+PlatformTarget::PlatformTarget(asio::io_context &io, PlatformStore &store,
+                               std::string id, std::string service,
+                               std::string zone, std::string version)
+    : Io(io), Store(store),
+      Server(io, [this](const auto &request) { serve(request); },
+             [](int code, const char *) { return jsonResponse(code, "{}"); }),
+      Id(std::move(id)), Service(std::move(service)), Zone(std::move(zone)),
+      Version(std::move(version)) {}
+
+bool PlatformTarget::listen(const std::string &address) {
+  Address = address;
+  return Server.listen(address);
+}
+
+void PlatformTarget::enter(const std::string &state) {
+  Json::Value entry;
+  entry["address"] = Address;
+  entry["born"] = 1790000000000;
+  entry["information"]["service"] = Service;
+  entry["information"]["version"] = Version;
+  entry["information"]["zone"] = Zone;
+  entry["information"]["slots"] = Slots;
+  entry["status"]["state"] = state;
+  entry["status"]["sequence"] = ++Sequence;
+  entry["status"]["warmupRemaining"] = "0ms";
+  Store.put("servers/" + Id, platform::writeJson(entry));
+}
+
+void PlatformTarget::serve(const std::shared_ptr<ServedRequest> &request) {
+  const HttpMessage &message = request->Message;
+  KeysSeen += findField(message, "Authorization") != nullptr;
+  LastTeam = field(message, "Savorylb-Tenant");
+  bool other = Mode == TargetMode::OtherTarget ||
+               field(message, "Savorylb-Expected-Instance") != Id;
+  if (other || Mode == TargetMode::Shed) {
+    HttpMessage refused = jsonResponse(other ? 421 : 503, "{}");
+    refused.Fields = {
+        {"Savorylb-Attempt-Id", field(message, "Savorylb-Attempt-Id")},
+        {"Savorylb-Not-Executed", "1"}};
+    request->Respond(std::move(refused));
+    return;
+  }
+  ++Runs[field(message, "Savorylb-Attempt-Id")];
+  ++Running;
+  auto gone = std::make_shared<bool>(false);
+  request->OnGone = [this, gone] {
+    *gone = true;
+    ++Cancelled;
+  };
+  auto timer = std::make_shared<asio::steady_timer>(Io, Work);
+  timer->async_wait(
+      [this, request, gone, timer](const boost::system::error_code &) {
+        --Running;
+        if (!*gone)
+          answer(request);
+      });
+}
+
+void PlatformTarget::answer(const std::shared_ptr<ServedRequest> &request) {
+  if (Mode == TargetMode::Silent)
+    return;
+  request->OnGone = nullptr;
+  if (Mode == TargetMode::LoseAnswer) {
+    request->Abort();
+    return;
+  }
+  const HttpMessage &message = request->Message;
+  std::string attempt = field(message, "Savorylb-Attempt-Id");
+  HttpMessage response;
+  response.Status = Mode == TargetMode::Fail ? 500 : 200;
+  response.Fields = {
+      {"Savorylb-Attempt-Id",
+       Mode == TargetMode::CrossAnswer ? "other" : attempt},
+      {"Savorylb-Server-Load", std::to_string(Running) + ",0,4"}};
+  if (Mode != TargetMode::Unsigned)
+    response.Fields.emplace_back("Savorylb-Server-Signature", Id);
+  response.Body = "answer to " + attempt;
+  request->Respond(std::move(response));
+}
+
+} // namespace savorylb::standin
--- /dev/null
+++ b/src/standins/platform/platform_world.cpp
@@ -0,0 +1,119 @@
+#include "platform_world.h"
+
+#include "json_read.h"
+
+namespace savorylb::standin {
+namespace {
+
+constexpr int StorePort = 8601;
+constexpr int TargetPort = 8610;
+constexpr int CallerPort = 8701;
+constexpr int ReadyPort = 8702;
+constexpr int LookupPort = 8703;
+constexpr int PeerPort = 8704;
+
+std::string at(int net, int host, int port) {
+  return "127.0." + std::to_string(net) + "." + std::to_string(host) + ":" +
+         std::to_string(port);
+}
+
+Json::Value route(const std::string &prefix, const std::string &kind,
+                  const std::string &service) {
+  Json::Value value;
+  value["host"] = "maps.example";
+  value["prefix"] = prefix;
+  value["kind"] = kind;
+  value["timeout"] = "2000ms";
+  value["targetLatency"] = "250ms";
+  value["priority"] = 1;
+  value["service"] = service;
+  value["attempts"] = 2;
+  value["public"] = false;
+  value["sessionAffinity"] = true;
+  value["homeRegions"] = Json::arrayValue;
+  return value;
+}
+
+} // namespace
+
+bool PlatformWorld::start(int net) {
+  Net = net;
+  configure({"key-1"});
+  return Store.listen(at(Net, 1, StorePort));
+}
+
+PlatformTarget &PlatformWorld::addTarget(const std::string &service,
+                                         const std::string &zone,
+                                         const std::string &version) {
+  int n = static_cast<int>(Targets.size());
+  auto target = std::make_unique<PlatformTarget>(
+      Io, Store, "i-" + std::to_string(n), service, zone, version);
+  target->listen(at(Net, 100, TargetPort + n));
+  target->enter();
+  Targets.push_back(std::move(target));
+  return *Targets.back();
+}
+
+void PlatformWorld::configure(const std::vector<std::string> &keys) {
+  Json::Value config;
+  config["version"] = Version += 3;
+  config["routes"]["r-1"] = route("/tiles/", "safe", "tiles");
+  config["routes"]["r-2"] = route("/permits/", "unsafe", "permits");
+  for (const char *it : {"tiles", "permits"}) {
+    config["services"][it]["maxConnections"] = 300;
+    config["services"][it]["warmup"] = "3s";
+    config["services"][it]["warmupPerS"] = 9.3;
+  }
+  config["limits"]["maxHeaderBytes"] = 16384;
+  config["limits"]["maxBodyBytes"] = 1048576;
+  config["limits"]["headerTimeout"] = "3000ms";
+  config["limits"]["idleTimeout"] = "15000ms";
+  Json::Value &team = config["tenants"]["port"];
+  team["priority"] = 1;
+  team["requestsPerS"] = 0;
+  team["apiKeys"] = Json::arrayValue;
+  for (const std::string &it : keys)
+    team["apiKeys"].append(it);
+  Store.put("op/config", platform::writeJson(config));
+}
+
+std::string PlatformWorld::callerAddress(int n) const {
+  return at(Net, n, CallerPort);
+}
+
+std::string PlatformWorld::lookupAddress(int n) const {
+  return at(Net, n, LookupPort);
+}
+
+std::string PlatformWorld::readyAddress(int n) const {
+  return at(Net, n, ReadyPort);
+}
+
+std::string PlatformWorld::vmSettings(int n, const std::string &zone) const {
+  Json::Value value;
+  std::string address = at(Net, n, 0);
+  value["vm"] = "vm-" + std::to_string(n);
+  value["zone"] = zone;
+  value["region"] = "tema";
+  value["address"] = address.substr(0, address.find(':'));
+  value["zones"]["tema-a"] = "tema";
+  value["zones"]["tema-b"] = "tema";
+  value["caller_address"] = callerAddress(n);
+  value["ready_address"] = readyAddress(n);
+  value["lookup_address"] = lookupAddress(n);
+  value["peer_port"] = std::to_string(PeerPort);
+  value["store_address"] = at(Net, 1, StorePort);
+  value["repeat_slack"] = "60";
+  return platform::writeJson(value);
+}
+
+int PlatformWorld::runsOf(const std::string &attempt) const {
+  int runs = 0;
+  for (const auto &it : Targets) {
+    auto found = it->Runs.find(attempt);
+    runs += found == it->Runs.end() ? 0 : found->second;
+  }
+  return runs;
+}
+
+} // namespace savorylb::standin
