--- a/src/standins/platform/platform_caller.cpp
+++ b/src/standins/platform/platform_caller.cpp
@@ -13,12 +13,11 @@
   message.Method = request.Method;
   message.Path = request.Path;
   message.Body = request.Body;
-  message.Fields = {
-      {"Host", request.Host},
-      {"Savorylb-Attempt-Id", request.Attempt},
-      {"Savorylb-Deadline-Milliseconds",
-       std::to_string(request.Patience.count())},
-      {"Cookie", "Savorylb-Affinity-Key=" + request.Object}};
+  message.Fields = {{"Host", request.Host},
+                    {"Savorylb-Attempt-Id", request.Attempt},
+                    {"Savorylb-Deadline-Milliseconds",
+                     std::to_string(request.Patience.count())},
+                    {"Cookie", "Savorylb-Affinity-Key=" + request.Object}};
   if (!request.Key.empty())
     message.Fields.emplace_back("Authorization", "Token " + request.Key);
   return message;
--- a/src/standins/platform/platform_store.cpp
+++ b/src/standins/platform/platform_store.cpp
@@ -56,8 +56,9 @@
 } // namespace
 
 PlatformStore::PlatformStore(asio::io_context &io)
-    : Io(io), Server(io, [this](const auto &request) { serve(request); },
-                     [](int code, const char *) { return status(code); }),
+    : Io(io), Server(
+                  io, [this](const auto &request) { serve(request); },
+                  [](int code, const char *) { return status(code); }),
       Ticker(io) {
   expireLeases();
 }
@@ -98,8 +99,9 @@
     return;
   }
   auto timer = std::make_shared<asio::steady_timer>(Io, Faults.Delay);
-  timer->async_wait([this, request, timer](
-                        const boost::system::error_code &) { answer(request); });
+  timer->async_wait([this, request, timer](const boost::system::error_code &) {
+    answer(request);
+  });
 }
 
 void PlatformStore::answer(const std::shared_ptr<ServedRequest> &request) {
--- a/src/standins/platform/platform_target.cpp
+++ b/src/standins/platform/platform_target.cpp
@@ -18,8 +18,9 @@
                                std::string id, std::string service,
                                std::string zone, std::string version)
     : Io(io), Store(store),
-      Server(io, [this](const auto &request) { serve(request); },
-             [](int code, const char *) { return jsonResponse(code, "{}"); }),
+      Server(
+          io, [this](const auto &request) { serve(request); },
+          [](int code, const char *) { return jsonResponse(code, "{}"); }),
       Id(std::move(id)), Service(std::move(service)), Zone(std::move(zone)),
       Version(std::move(version)) {}
 
