Let one VM of a region watch the store for the others

Ruled out: longer waits alone, which delay configurations. Change: VMs of a region follow the mirror of the first of them by hash with short waits, and ask the store when it does not answer.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -38,7 +38,8 @@
   return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
 
-HttpConnection::HttpConnection(asio::io_context &io, std::int64_t maxBodyBytes)
+HttpConnection::HttpConnection(const asio::any_io_executor &io,
+                               std::int64_t maxBodyBytes)
     : Socket(io), Timer(io), MaxBodyBytes(maxBodyBytes), Chunk(ReadChunk, 0) {}
 
 void HttpConnection::connect(const std::string &address, Duration timeout,
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -42,7 +42,7 @@
 /// A client's connection that carries one exchange at a time.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
-  explicit HttpConnection(asio::io_context &io, std::int64_t maxBodyBytes);
+  HttpConnection(const asio::any_io_executor &io, std::int64_t maxBodyBytes);
 
   /// Connects.
   /// \param address `ip:port`.
--- a/src/libsavorysteer/fleet_view.cpp
+++ b/src/libsavorysteer/fleet_view.cpp
@@ -1,5 +1,7 @@
 #include "fleet_view.h"
 
+#include "savorylb/hash.h"
+
 #include <algorithm>
 
 namespace savorylb {
@@ -61,6 +63,25 @@
   return found;
 }
 
+std::vector<VmEntry> readersOf(const FleetView &view, const RegionId &region,
+                               MonoTime now) {
+  std::vector<std::pair<std::uint64_t, VmEntry>> order;
+  auto add = [&](const VmEntry &it) {
+    order.emplace_back(stableHash(it.Vm.Value), it);
+  };
+  if (!view.SelfDraining)
+    add(view.Self);
+  for (const VmEntry &it : liveVms(view, now))
+    if (it.Region == region && it.Vm != view.Self.Vm)
+      add(it);
+  std::sort(order.begin(), order.end(),
+            [](const auto &a, const auto &b) { return a.first > b.first; });
+  std::vector<VmEntry> vms;
+  for (const auto &[hash, it] : order)
+    vms.push_back(it);
+  return vms;
+}
+
 double peerDemand(const FleetView &view, const TeamId &team, MonoTime now) {
   double sum = 0;
   for (const auto &[vm, peer] : view.Peers) {
--- a/src/libsavorysteer/fleet_view.h
+++ b/src/libsavorysteer/fleet_view.h
@@ -71,6 +71,13 @@
                                          const ZoneId &zone,
                                          const RegionId &region, MonoTime now);
 
+/// Orders the VMs of a region that may watch the store for the others. The
+/// first one watches, the others follow it, so that the calls to the store do
+/// not grow with the number of VMs.
+/// \returns the VMs, this one among them unless it stops.
+std::vector<VmEntry> readersOf(const FleetView &view, const RegionId &region,
+                               MonoTime now);
+
 /// \returns the demand of a team on the other VMs.
 double peerDemand(const FleetView &view, const TeamId &team, MonoTime now);
 
--- a/src/libsavorysteer/fleet_view_test.cpp
+++ b/src/libsavorysteer/fleet_view_test.cpp
@@ -91,3 +91,25 @@
   DOUBLES_EQUAL(7, peerDemand(view, TeamId("port"), Start + Seconds(9)), 0.01);
   DOUBLES_EQUAL(0, peerDemand(view, TeamId("port"), Start + Seconds(11)), 0.01);
 }
+
+// Guards against store calls that grow with the fleet, and against VMs that
+// follow one which has ended.
+TEST(FleetView, OneVmOfARegionWatchesTheStore) {
+  std::vector<VmEntry> vms = {
+      vm("a1", "tema-a", "tema"), vm("a2", "tema-a", "tema"),
+      vm("b1", "tema-b", "tema"), vm("e1", "elm-a", "elmina")};
+  std::string first;
+  for (std::size_t i = 0; i < 3; ++i) {
+    FleetView view;
+    view.Self = vms[i];
+    for (const VmEntry &it : vms)
+      if (it.Vm != view.Self.Vm)
+        hear(view, it, false, Start);
+    auto order = readersOf(view, RegionId("tema"), Start);
+    LONGS_EQUAL(3, order.size());
+    first = i == 0 ? order[0].Vm.Value : first;
+    STRCMP_EQUAL(first.c_str(), order[0].Vm.Value.c_str());
+    auto later = readersOf(view, RegionId("tema"), Start + HeardWithin + Seconds(1));
+    LONGS_EQUAL(1, later.size());
+  }
+}
--- a/src/savoryvm/store_channel.h
+++ b/src/savoryvm/store_channel.h
@@ -16,8 +16,8 @@
 public:
   using Done = std::function<void(Result<HttpMessage>)>;
 
-  StoreChannel(asio::io_context &io, std::string address)
-      : Io(io), Address(std::move(address)) {}
+  StoreChannel(asio::any_io_executor io, std::string address)
+      : Io(std::move(io)), Address(std::move(address)) {}
   ~StoreChannel() { close(); }
 
   /// Calls the server; no other call may be on its way.
@@ -32,7 +32,7 @@
 private:
   void transmit(const HttpMessage &request, Duration timeout, Done done);
 
-  asio::io_context &Io;
+  asio::any_io_executor Io;
   std::string Address;
   std::shared_ptr<HttpConnection> Connection;
 };
--- a/src/savoryvm/store_mirror.cpp
+++ b/src/savoryvm/store_mirror.cpp
@@ -3,6 +3,12 @@
 #include "json_read.h"
 
 namespace savorylb {
+namespace {
+
+/// Removals kept for VMs that follow; some minutes of a large fleet.
+constexpr std::size_t MaxRemovals = 512;
+
+} // namespace
 
 using platform::StoreItem;
 using platform::StorePage;
@@ -17,10 +23,16 @@
     if (it.Removed && known == mirror.Items.end())
       continue;
     fresh.push_back(it);
-    if (it.Removed)
+    if (it.Removed) {
       mirror.Items.erase(known);
-    else
+      mirror.Removals.push_back(it);
+      if (mirror.Removals.size() > MaxRemovals) {
+        mirror.RemovalsSince = mirror.Removals.front().Changed;
+        mirror.Removals.pop_front();
+      }
+    } else {
       mirror.Items[it.Key] = it;
+    }
   }
   if (page.Read > mirror.Known)
     mirror.Known = page.Read;
@@ -45,34 +57,60 @@
   return applyChanges(mirror, changes);
 }
 
-std::string writeMirror(const StoreMirror &mirror) {
+MirrorNews newsAfter(const StoreMirror &mirror, Revision after) {
+  MirrorNews news;
+  news.Page.Read = mirror.Known;
+  news.Whole = after < mirror.RemovalsSince;
+  for (const auto &[key, item] : mirror.Items)
+    if (news.Whole || item.Changed > after)
+      news.Page.Items.push_back(item);
+  if (!news.Whole)
+    for (const StoreItem &it : mirror.Removals)
+      if (it.Changed > after && !mirror.Items.count(it.Key))
+        news.Page.Items.push_back(it);
+  return news;
+}
+
+std::string writeNews(const MirrorNews &news) {
   Json::Value value;
-  value["known"] = static_cast<Json::Int64>(mirror.Known.Value);
+  value["known"] = static_cast<Json::Int64>(news.Page.Read.Value);
+  value["whole"] = news.Whole;
+  value["stale"] = news.Stale;
   value["items"] = Json::arrayValue;
-  for (const auto &[key, item] : mirror.Items) {
+  for (const StoreItem &item : news.Page.Items) {
     Json::Value row;
-    row["key"] = key;
+    row["key"] = item.Key;
     row["changed"] = static_cast<Json::Int64>(item.Changed.Value);
-    row["value"] = item.Value;
+    if (item.Removed)
+      row["removed"] = true;
+    else
+      row["value"] = item.Value;
     value["items"].append(row);
   }
   return platform::writeJson(value);
 }
 
-Result<StorePage> readMirror(const std::string &text) {
+Result<MirrorNews> readNews(const std::string &text) {
   auto value = platform::readObject(text);
-  if (!value)
-    return failure(ErrorCode::Malformed, "the mirror is no JSON object");
-  StorePage page;
-  page.Read = Revision(platform::integerIn(*value, "known").value_or(0));
+  if (!value || !platform::integerIn(*value, "known"))
+    return failure(ErrorCode::Malformed, "the news are no JSON object");
+  auto flag = [](const Json::Value &in, const char *name) {
+    return platform::member(in, name).isBool() &&
+           platform::member(in, name).asBool();
+  };
+  MirrorNews news;
+  news.Page.Read = Revision(*platform::integerIn(*value, "known"));
+  news.Whole = flag(*value, "whole");
+  news.Stale = flag(*value, "stale");
   for (const Json::Value &row : platform::member(*value, "items")) {
     StoreItem item;
     item.Key = platform::textIn(row, "key").value_or("");
     item.Value = platform::textIn(row, "value").value_or("");
     item.Changed = Revision(platform::integerIn(row, "changed").value_or(0));
-    page.Items.push_back(item);
+    item.Removed = flag(row, "removed");
+    news.Page.Items.push_back(item);
   }
-  return page;
+  return news;
 }
 
 } // namespace savorylb
--- a/src/savoryvm/store_mirror_test.cpp
+++ b/src/savoryvm/store_mirror_test.cpp
@@ -53,14 +53,30 @@
 }
 
 // Guards against documents that change on the way between VMs.
-TEST(StoreMirror, IsReadAsWritten) {
+TEST(StoreMirror, NewsAreReadAsWritten) {
   StoreMirror mirror;
   applyChanges(mirror, page(5, {item("a", 4), item("b", 5)}));
-  auto read = readMirror(writeMirror(mirror));
+  auto read = readNews(writeNews(newsAfter(mirror, Revision(0))));
   CHECK_TRUE(read.has_value());
   StoreMirror other;
-  applyList(other, read.value());
+  applyChanges(other, read.value().Page);
   LONGS_EQUAL(5, other.Known.Value);
   STRCMP_EQUAL("v4", other.Items["a"].Value.c_str());
-  CHECK_FALSE(readMirror("busy").has_value());
+  CHECK_FALSE(readNews("busy").has_value());
+}
+
+// Guards against a follower that misses a removal, also one that is too long
+// ago for the other VM to know.
+TEST(StoreMirror, FollowerHearsOfRemovals) {
+  StoreMirror mirror;
+  applyList(mirror, page(5, {item("a", 4), item("b", 5)}));
+  StoreMirror other = mirror;
+  applyChanges(mirror, page(7, {item("a", 7, true), item("c", 6)}));
+  MirrorNews news = newsAfter(mirror, other.Known);
+  CHECK_FALSE(news.Whole);
+  applyChanges(other, news.Page);
+  LONGS_EQUAL(2, other.Items.size());
+  LONGS_EQUAL(0, other.Items.count("a"));
+  mirror.RemovalsSince = Revision(7);
+  CHECK_TRUE(newsAfter(mirror, Revision(6)).Whole);
 }
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_STORE_SYNC_H
 #define SAVORYLB_STORE_SYNC_H
 
+#include "http_server.h"
 #include "store_channel.h"
 #include "store_mirror.h"
 
@@ -26,16 +27,36 @@
             std::string prefix, Millis wait, Duration pause, Changed changed,
             Contact contact);
 
+  /// Names the VM whose mirror is followed in place of the store; empty when
+  /// this VM watches the store itself.
+  using Followed = std::function<std::string()>;
+  void follow(Followed followed) { WhomToFollow = std::move(followed); }
+
   void start() { list(""); }
 
+  /// Answers a VM that follows this mirror, as soon as there is news.
+  void serveFollower(const std::shared_ptr<ServedRequest> &request,
+                     Revision after);
+
+  /// Answers followers that have waited long enough.
+  void expireFollowers();
+
   /// Takes in documents from another VM, if they are newer.
   void adopt(const platform::StorePage &page);
 
+  /// \returns whether a VM has answered when it was followed, as far as known.
+  bool mayFollow(const std::string &address) const;
+
   const StoreMirror &mirror() const { return Mirror; }
 
 private:
   void list(const std::string &after);
   void watch();
+  void watchStore();
+  void watchPeer(const std::string &address);
+  void onNews(const std::string &address, const Result<HttpMessage> &response);
+  void answerFollowers();
+  void respond(const std::shared_ptr<ServedRequest> &request, Revision after);
   void later(Duration pause, std::function<void()> next);
   void failed(const Error &error);
 
@@ -49,6 +70,18 @@
   platform::StorePage Listed;
   /// A list is needed before changes can be watched.
   bool NeedsList = true;
+  bool StoreFails = false;
+  Followed WhomToFollow;
+  std::string PeerAddress;
+  std::unique_ptr<StoreChannel> Peer;
+  /// VMs that failed to answer, and until when they are not followed.
+  std::map<std::string, MonoTime> NotFollowed;
+  struct Follower {
+    std::shared_ptr<ServedRequest> Request;
+    Revision After;
+    MonoTime Until{};
+  };
+  std::vector<Follower> Followers;
 };
 
 } // namespace savorylb
--- a/src/savoryvm/target_pool.cpp
+++ b/src/savoryvm/target_pool.cpp
@@ -40,7 +40,8 @@
     }
     connection->close();
   }
-  auto connection = std::make_shared<HttpConnection>(Io, MaxBodyBytes);
+  auto connection =
+      std::make_shared<HttpConnection>(Io.get_executor(), MaxBodyBytes);
   connection->connect(address, ConnectTimeout,
                       [connection, ready](bool connected) {
                         ready(connected ? connection : nullptr);
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -152,12 +152,26 @@
   Targets.start();
   Systems.start();
   Registration.start();
+  for (StoreSync *it : {&Operators, &Targets, &Systems})
+    it->follow([this, it] { return whomToFollow(*it); });
   waitForSignal();
   TickedAt = monoNow();
   tick();
   return true;
 }
 
+std::string VmDaemon::whomToFollow(const StoreSync &sync) const {
+  std::vector<VmEntry> order =
+      readersOf(State.Fleet, Settings.Region, monoNow());
+  for (const VmEntry &it : order) {
+    if (it.Vm == State.Fleet.Self.Vm)
+      return "";
+    if (sync.mayFollow(it.PeerAddress))
+      return it.PeerAddress;
+  }
+  return "";
+}
+
 bool VmDaemon::ready() const {
   return State.Config && TargetsListed && !Stopping;
 }
@@ -192,12 +206,19 @@
 }
 
 void VmDaemon::servePeer(const std::shared_ptr<ServedRequest> &request) {
-  for (const StoreSync *it : {&Operators, &Targets, &Systems})
-    if (request->Message.Path == "/documents/" + it->mirror().Prefix &&
-        it->mirror().Known.Value > 0) {
-      request->Respond(jsonResponse(200, writeMirror(it->mirror())));
-      return;
-    }
+  // The path is /news/REVISION/PREFIX.
+  const std::string &path = request->Message.Path;
+  const std::string start = "/news/";
+  std::size_t slash = path.find('/', start.size());
+  if (path.compare(0, start.size(), start) == 0 && slash != std::string::npos) {
+    Revision after(std::atoll(path.c_str() + start.size()));
+    for (StoreSync *it : {&Operators, &Targets, &Systems})
+      if (path.substr(slash + 1) == it->mirror().Prefix &&
+          it->mirror().Known.Value > 0) {
+        it->serveFollower(request, after);
+        return;
+      }
+  }
   request->Respond(rejection(404, "no-such-documents"));
 }
 
@@ -388,6 +409,8 @@
                {{"revision", State.Documents.Value},
                 {"targets", static_cast<std::int64_t>(State.Targets.size())}});
   }
+  for (StoreSync *it : {&Operators, &Targets, &Systems})
+    it->expireFollowers();
   applyRemovals(now);
   writeRollouts(now);
   askPeer(now);
@@ -456,10 +479,11 @@
     return;
   PeerAsked = true;
   PeerAskedAt = now;
-  PeerChannel = std::make_unique<StoreChannel>(Io, chosen.PeerAddress);
+  PeerChannel =
+      std::make_unique<StoreChannel>(Io.get_executor(), chosen.PeerAddress);
   HttpMessage request;
   request.Method = "GET";
-  request.Path = std::string("/documents/") + platform::OperatorPrefix;
+  request.Path = std::string("/news/0/") + platform::OperatorPrefix;
   std::string peer = chosen.Vm.Value;
   bool targetsToo = away;
   PeerChannel->call(
@@ -471,7 +495,7 @@
           return;
         HttpMessage more;
         more.Method = "GET";
-        more.Path = std::string("/documents/") + platform::TargetPrefix;
+        more.Path = std::string("/news/0/") + platform::TargetPrefix;
         PeerChannel->call(more, Seconds(1),
                           [this, peer](Result<HttpMessage> answer) {
                             adoptFromPeer(peer, platform::TargetPrefix, answer);
@@ -485,20 +509,20 @@
     countEvent("peer_documents_failed"); // Another VM is asked next time.
     return;
   }
-  auto page = readMirror(response.value().Body);
+  auto page = readNews(response.value().Body);
   if (!page) {
     logEvent(EventCode::DocumentRejected,
              {{"key", prefix}, {"findings", page.error().Message}});
     return;
   }
   StoreSync &sync = prefix == platform::OperatorPrefix ? Operators : Targets;
-  if (page.value().Read <= sync.mirror().Known)
+  if (page.value().Page.Read <= sync.mirror().Known)
     return;
-  sync.adopt(page.value());
+  sync.adopt(page.value().Page);
   logEvent(EventCode::PeerDocumentsAdopted,
            {{"prefix", prefix},
             {"peer", peer},
-            {"revision", page.value().Read.Value}});
+            {"revision", page.value().Page.Read.Value}});
 }
 
 void VmDaemon::waitForSignal() {
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -47,6 +47,7 @@
   void startStop();
   void stopStep();
   bool ready() const;
+  std::string whomToFollow(const StoreSync &sync) const;
 
   asio::io_context &Io;
   VmSettings Settings;
--- a/src/savoryvm/vm_registration.cpp
+++ b/src/savoryvm/vm_registration.cpp
@@ -20,7 +20,7 @@
 VmRegistration::VmRegistration(asio::io_context &io, const std::string &address,
                                std::string key, std::string value,
                                Millis minLease)
-    : Timer(io), Channel(io, address), Key(std::move(key)),
+    : Timer(io), Channel(io.get_executor(), address), Key(std::move(key)),
       Value(std::move(value)), LeaseSpan(std::max(WantedLease, minLease)) {}
 
 void VmRegistration::next(Duration pause) {
