--- a/src/libsavorysteer/fleet_view_test.cpp
+++ b/src/libsavorysteer/fleet_view_test.cpp
@@ -109,7 +109,8 @@
     LONGS_EQUAL(3, order.size());
     first = i == 0 ? order[0].Vm.Value : first;
     STRCMP_EQUAL(first.c_str(), order[0].Vm.Value.c_str());
-    auto later = readersOf(view, RegionId("tema"), Start + HeardWithin + Seconds(1));
+    auto later =
+        readersOf(view, RegionId("tema"), Start + HeardWithin + Seconds(1));
     LONGS_EQUAL(1, later.size());
   }
 }
--- a/src/libsavorysteer/placement_policy_test.cpp
+++ b/src/libsavorysteer/placement_policy_test.cpp
@@ -46,6 +46,7 @@
   request.Left = Seconds(2);
   request.CachedMs = CachedWorkMs;
   request.UncachedMs = UncachedWorkMs;
+  request.MeanMs = CachedWorkMs;
   return request;
 }
 
@@ -185,6 +186,20 @@
   CHECK_TRUE(choice.Target != nullptr);
 }
 
+// Guards against queues in which requests time out while caches are empty: what
+// waits there takes as long as an uncached execution.
+TEST(PlacementPolicy, QueuesOfUncachedRequestsAreLeftSooner) {
+  std::vector<TargetState> targets = makeTargets(3, 4);
+  for (TargetState &it : targets)
+    it.InFlight.assign(9, Start);
+  PlacementRequest request = makeRequest("7", 0);
+  auto candidates = candidatesOf(targets, request.Region);
+  request.LatencyTarget = Millis(400);
+  CHECK_TRUE(placeRequest(request, candidates, Start).Target != nullptr);
+  request.MeanMs = UncachedWorkMs;
+  POINTERS_EQUAL(nullptr, placeRequest(request, candidates, Start).Target);
+}
+
 // Guards against less urgent requests that push out more urgent ones.
 TEST(PlacementPolicy, LessUrgentRequestsAreRefusedAtShorterQueues) {
   std::vector<TargetState> targets = makeTargets(1, 4);
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -43,6 +43,7 @@
     return known->second;
   double target = static_cast<double>(route.LatencyTarget.count());
   ServiceState::WorkTime first{FirstCachedPart * target,
+                               FirstUncachedPart * target,
                                FirstUncachedPart * target};
   // A new route's requests are likely to be like those of the other routes.
   if (!service.Work.empty())
@@ -50,6 +51,20 @@
   return service.Work.emplace(route.Id, first).first->second;
 }
 
+/// Takes one response into the mean work time, with the expected queue taken
+/// off.
+void learnMean(SteeringState &state, const SteeredRequest &request,
+               const TargetState &target, const SendOutcome &outcome,
+               double tookMs) {
+  ServiceState::WorkTime &work =
+      workTime(state.Services[request.Service], *request.Route);
+  double slots = std::max(1, target.Entry.Slots);
+  double queued = std::max(0.0, outcome.LoadAtSend + 1 - slots);
+  double worked =
+      std::max(1.0, tookMs - roundTripMs(state, target)) / (1 + queued / slots);
+  work.MeanMs += WorkWeight * (worked - work.MeanMs);
+}
+
 /// Takes one response into the mean work times, if it is known whether the
 /// target had the object cached.
 void learnWork(SteeringState &state, const SteeredRequest &request,
@@ -282,6 +297,7 @@
   const ServiceState::WorkTime &work = workTime(service, *request.Route);
   query.CachedMs = work.CachedMs;
   query.UncachedMs = work.UncachedMs;
+  query.MeanMs = work.MeanMs;
   return placeRequest(query, candidates, now);
 }
 
@@ -314,6 +330,7 @@
         executed ? relativeTime(request, known, outcome, tookMs, now) : -1;
     noteResult(known, outcome.Result, relative, now);
     if (outcome.Result == TargetResult::Answered) {
+      learnMean(state, request, known, outcome, tookMs);
       if (!outcome.Load || outcome.Load->Waiting == 0)
         learnWork(state, request, known, tookMs, now);
       noteObject(known, request.Object, now);
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -40,6 +40,7 @@
   struct WorkTime {
     double CachedMs = 0;
     double UncachedMs = 0;
+    double MeanMs = 0;
   };
   std::map<RouteId, WorkTime> Work;
   /// Part of the requests owed to the new version, carried on.
@@ -146,6 +147,8 @@
   Duration Took{0};
   double ExpectedMs = 0;
   double ExpectedUncachedMs = 0;
+  /// Requests that were expected at the target when it was sent.
+  double LoadAtSend = 0;
   MonoTime SentAt{};
 };
 
--- a/src/savoryvm/request_runner.cpp
+++ b/src/savoryvm/request_runner.cpp
@@ -173,6 +173,7 @@
   outcome.Took = now - Current.SentAt;
   outcome.ExpectedMs = Current.ExpectedMs;
   outcome.ExpectedUncachedMs = Current.ExpectedUncachedMs;
+  outcome.LoadAtSend = Current.LoadAtSend;
   outcome.SentAt = Current.SentAt;
   noteOutcome(State, Steered, Current.Target, outcome, now);
 }
