Remember the queues of other VMs for a second

Cause: at 79 VMs each hears from a target about once a second, and reports were forgotten after 0.3 s, so that VMs expected 0 to 5 requests at targets with queues of 18 (logs of the VMs of gyeongju).

--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -9,7 +9,7 @@
 /// Slowness above this says no more than that the target should be left alone.
 constexpr double MaxSlowness = 20;
 /// Part of one report in the mean of other VMs' requests.
-constexpr double OthersWeight = 0.1;
+constexpr double OthersWeight = 0.3;
 
 /// Objects remembered of one target; more than a target has cached.
 constexpr std::size_t MaxObjects = 128;
@@ -27,6 +27,8 @@
   double others =
       load.Running + load.Waiting - static_cast<double>(target.InFlight.size());
   target.OthersLast = std::max(0.0, others);
+  if (target.ReportedAt == MonoTime())
+    target.OthersMean = target.OthersLast;
   target.OthersMean += OthersWeight * (target.OthersLast - target.OthersMean);
   target.ReportedAt = now;
   if (load.Slots > 0)
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -52,9 +52,10 @@
 
 /// Time in which the weight of an earlier result falls to a third.
 constexpr Duration ResultMemory = Millis(4000);
-/// Time in which a load report gives way to the mean of earlier ones; a few
-/// service times.
-constexpr Duration ReportMemory = Millis(300);
+/// Time in which a load report gives way to the mean of earlier ones. In a
+/// large fleet a VM hears from a target about once a second, and queues last
+/// as long.
+constexpr Duration ReportMemory = Millis(1500);
 /// Part of one result in the smoothed failure rate and slowness.
 constexpr double ResultWeight = 0.2;
 
--- a/src/libsavorysteer/target_state_test.cpp
+++ b/src/libsavorysteer/target_state_test.cpp
@@ -71,6 +71,17 @@
   DOUBLES_EQUAL(3, expectedRequests(target, Start), 0.01);
 }
 
+// Guards against queues of other VMs that are forgotten before the next request
+// to the target, seen where each VM hears from it once a second.
+TEST(TargetState, QueueOfOthersIsRememberedForASecond) {
+  TargetState target = makeTarget();
+  noteLoad(target, {4, 12, 4}, Start);
+  CHECK_TRUE(expectedRequests(target, Start + Seconds(1)) > 12);
+  // A report of an empty queue counts at once.
+  noteLoad(target, {0, 0, 4}, Start + Seconds(1));
+  CHECK_TRUE(expectedRequests(target, Start + Seconds(1)) < 1);
+}
+
 // Guards against a target that is avoided for good after a few failures.
 TEST(TargetState, FailuresAreForgottenWithTime) {
   TargetState target = makeTarget();
