--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -8,8 +8,8 @@
 namespace savorylb {
 namespace {
 
-constexpr std::size_t ReadChunk = 16 * 1024;
-constexpr std::int64_t MaxResponseHead = 64 * 1024;
+constexpr std::size_t ReadChunk = 16'384;
+constexpr std::int64_t MaxResponseHead = 65'536;
 /// Unacknowledged bytes for this long mean that the path is gone.
 constexpr int UnackedMs = 1500;
 
@@ -43,7 +43,7 @@
     : Socket(io), Timer(io), MaxBodyBytes(maxBodyBytes), Chunk(ReadChunk, 0) {}
 
 void HttpConnection::connect(const std::string &address, Duration timeout,
-                             std::function<void(bool)> done) {
+                             const std::function<void(bool)> &done) {
   auto endpoint = parseEndpoint(address);
   auto self = shared_from_this();
   if (!endpoint) {
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -49,7 +49,7 @@
   /// \param timeout how long it may take.
   /// \param done called with success or not.
   void connect(const std::string &address, Duration timeout,
-               std::function<void(bool)> done);
+               const std::function<void(bool)> &done);
 
   /// Starts an exchange; the connection must be connected and idle.
   void start(Exchange exchange);
--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -8,9 +8,9 @@
 namespace savorylb {
 namespace {
 
-constexpr std::size_t ReadChunk = 16 * 1024;
+constexpr std::size_t ReadChunk = 16'384;
 /// Bytes of later requests that are kept while one waits for its response.
-constexpr std::size_t MaxPipelined = 64 * 1024;
+constexpr std::size_t MaxPipelined = 65'536;
 /// A client that takes this long to read a response has gone.
 constexpr Duration WriteTimeout = Seconds(10);
 /// Time for a rejected client to read its response before the connection ends.
@@ -70,9 +70,8 @@
   }
 
   void onTimer() {
-    if (Busy || Writing)
-      close();
-    else if (readerStarted() && !Reader->headComplete())
+    bool inHead = readerStarted() && !Reader->headComplete();
+    if (inHead && !Busy && !Writing)
       reject(408, "header-timeout");
     else
       close();
--- a/src/libsavorysteer/fleet_view.cpp
+++ b/src/libsavorysteer/fleet_view.cpp
@@ -77,6 +77,7 @@
   std::sort(order.begin(), order.end(),
             [](const auto &a, const auto &b) { return a.first > b.first; });
   std::vector<VmEntry> vms;
+  vms.reserve(order.size());
   for (const auto &[hash, it] : order)
     vms.push_back(it);
   return vms;
--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -59,7 +59,7 @@
   bool cached = !request.Object.empty() && (rank >= 0 || known);
   double work = slow * (cached ? request.CachedMs : request.UncachedMs);
   double queued =
-      std::max(0.0, there + 1 - slots) / slots * slow * request.MeanMs;
+      std::max(0.0, there + 1 - slots) / slots * slow * request.CachedMs;
   Estimate result;
   result.FreeSlot = there + 1 <= slots;
   result.LatencyMs = candidate.RoundTripMs + work + queued;
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -28,9 +28,6 @@
   /// cached, and when it has not.
   double CachedMs = 0;
   double UncachedMs = 0;
-  /// Mean time over the requests that targets get; what waits in a queue takes
-  /// as long. It is near UncachedMs while caches are empty.
-  double MeanMs = 0;
   /// Targets that the request was sent to before.
   std::vector<TargetId> Tried;
 };
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -1,6 +1,7 @@
 #include "steering_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace savorylb {
 namespace {
@@ -43,7 +44,6 @@
     return known->second;
   double target = static_cast<double>(route.LatencyTarget.count());
   ServiceState::WorkTime first{FirstCachedPart * target,
-                               FirstUncachedPart * target,
                                FirstUncachedPart * target};
   // A new route's requests are likely to be like those of the other routes.
   if (!service.Work.empty())
@@ -51,20 +51,6 @@
   return service.Work.emplace(route.Id, first).first->second;
 }
 
-/// Takes one response into the mean work time, with the expected queue taken
-/// off.
-void learnMean(SteeringState &state, const SteeredRequest &request,
-               const TargetState &target, const SendOutcome &outcome,
-               double tookMs) {
-  ServiceState::WorkTime &work =
-      workTime(state.Services[request.Service], *request.Route);
-  double slots = std::max(1, target.Entry.Slots);
-  double queued = std::max(0.0, outcome.LoadAtSend + 1 - slots);
-  double worked =
-      std::max(1.0, tookMs - roundTripMs(state, target)) / (1 + queued / slots);
-  work.MeanMs += WorkWeight * (worked - work.MeanMs);
-}
-
 /// Takes one response into the mean work times, if it is known whether the
 /// target had the object cached.
 void learnWork(SteeringState &state, const SteeredRequest &request,
@@ -169,9 +155,9 @@
 constexpr double TrialTargets = 0.13;
 
 void keepFew(std::vector<PlacementCandidate> &candidates) {
-  std::size_t n = std::max<std::size_t>(
-      1, static_cast<std::size_t>(
-             TrialTargets * static_cast<double>(candidates.size()) + 0.5));
+  auto part =
+      std::lround(TrialTargets * static_cast<double>(candidates.size()));
+  auto n = static_cast<std::size_t>(std::max(1L, part));
   // Targets come in the order of their ids, which is the same on all VMs.
   if (candidates.size() > n)
     candidates.resize(n);
@@ -297,18 +283,15 @@
   const ServiceState::WorkTime &work = workTime(service, *request.Route);
   query.CachedMs = work.CachedMs;
   query.UncachedMs = work.UncachedMs;
-  query.MeanMs = work.MeanMs;
   return placeRequest(query, candidates, now);
 }
 
-void noteSent(SteeringState &state, SteeredRequest &request,
-              TargetState &target, MonoTime now) {
+void noteSent(SteeredRequest &request, TargetState &target, MonoTime now) {
   request.Tried.push_back(target.Entry.Id);
   target.InFlight.push_back(now);
   auto rule = request.Config->Services.find(request.Service);
   if (now < target.ColdUntil && rule != request.Config->Services.end())
     takeWarmupToken(target, rule->second.WarmupPerSecond, now);
-  (void)state;
 }
 
 void noteOutcome(SteeringState &state, const SteeredRequest &request,
@@ -318,8 +301,10 @@
   ServiceState &service = state.Services[request.Service];
   if (found != state.Targets.end()) {
     TargetState &known = found->second;
-    if (outcome.Load)
+    if (outcome.Load) {
       noteLoad(known, *outcome.Load, now);
+      setReportMemory(known, static_cast<int>(state.Fleet.Registered.size()));
+    }
     auto sent =
         std::find(known.InFlight.begin(), known.InFlight.end(), outcome.SentAt);
     if (sent != known.InFlight.end())
@@ -330,7 +315,6 @@
         executed ? relativeTime(request, known, outcome, tookMs, now) : -1;
     noteResult(known, outcome.Result, relative, now);
     if (outcome.Result == TargetResult::Answered) {
-      learnMean(state, request, known, outcome, tookMs);
       if (!outcome.Load || outcome.Load->Waiting == 0)
         learnWork(state, request, known, tookMs, now);
       noteObject(known, request.Object, now);
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -40,7 +40,6 @@
   struct WorkTime {
     double CachedMs = 0;
     double UncachedMs = 0;
-    double MeanMs = 0;
   };
   std::map<RouteId, WorkTime> Work;
   /// Part of the requests owed to the new version, carried on.
@@ -134,8 +133,7 @@
                              MonoTime now);
 
 /// Notes that a request is sent to a target.
-void noteSent(SteeringState &state, SteeredRequest &request,
-              TargetState &target, MonoTime now);
+void noteSent(SteeredRequest &request, TargetState &target, MonoTime now);
 
 /// Outcome of one send.
 struct SendOutcome {
@@ -147,8 +145,6 @@
   Duration Took{0};
   double ExpectedMs = 0;
   double ExpectedUncachedMs = 0;
-  /// Requests that were expected at the target when it was sent.
-  double LoadAtSend = 0;
   MonoTime SentAt{};
 };
 
--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -9,7 +9,7 @@
 /// Slowness above this says no more than that the target should be left alone.
 constexpr double MaxSlowness = 20;
 /// Part of one report in the mean of other VMs' requests.
-constexpr double OthersWeight = 0.3;
+constexpr double OthersWeight = 0.1;
 
 /// Objects remembered of one target; more than a target has cached.
 constexpr std::size_t MaxObjects = 128;
@@ -23,12 +23,16 @@
 
 } // namespace
 
+void setReportMemory(TargetState &target, int vms) {
+  target.ReportMemory =
+      std::clamp(vms * Duration(ReportMemoryPerVm), Duration(MinReportMemory),
+                 Duration(MaxReportMemory));
+}
+
 void noteLoad(TargetState &target, const TargetLoad &load, MonoTime now) {
   double others =
       load.Running + load.Waiting - static_cast<double>(target.InFlight.size());
   target.OthersLast = std::max(0.0, others);
-  if (target.ReportedAt == MonoTime())
-    target.OthersMean = target.OthersLast;
   target.OthersMean += OthersWeight * (target.OthersLast - target.OthersMean);
   target.ReportedAt = now;
   if (load.Slots > 0)
@@ -93,7 +97,7 @@
 }
 
 double expectedRequests(const TargetState &target, MonoTime now) {
-  double fresh = remaining(now - target.ReportedAt, ReportMemory);
+  double fresh = remaining(now - target.ReportedAt, target.ReportMemory);
   return static_cast<double>(target.InFlight.size()) +
          fresh * target.OthersLast + (1 - fresh) * target.OthersMean;
 }
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -26,6 +26,7 @@
   double OthersLast = 0;
   double OthersMean = 0;
   MonoTime ReportedAt{};
+  Duration ReportMemory = Millis(300);
   /// Response time relative to the mean of its service, smoothed.
   double Slowness = 1;
   /// Part of the requests that failed or were shed, smoothed.
@@ -52,10 +53,17 @@
 
 /// Time in which the weight of an earlier result falls to a third.
 constexpr Duration ResultMemory = Millis(4000);
-/// Time in which a load report gives way to the mean of earlier ones. In a
-/// large fleet a VM hears from a target about once a second, and queues last
-/// as long.
-constexpr Duration ReportMemory = Millis(1500);
+/// Time in which a load report gives way to the mean of earlier ones, for each
+/// VM, since each hears from a target the less often the more VMs there are;
+/// and its bounds. With 10 VMs a longer memory refuses requests for queues
+/// that have ended.
+constexpr Duration ReportMemoryPerVm = Millis(30);
+constexpr Duration MinReportMemory = Millis(300);
+constexpr Duration MaxReportMemory = Millis(1500);
+
+/// Sets the memory of load reports from the number of VMs.
+void setReportMemory(TargetState &target, int vms);
+
 /// Part of one result in the smoothed failure rate and slowness.
 constexpr double ResultWeight = 0.2;
 
--- a/src/libsavorysteer/team_ledger_test.cpp
+++ b/src/libsavorysteer/team_ledger_test.cpp
@@ -172,6 +172,7 @@
 // VM leaves.
 TEST(TeamLedger, OnlyTeamsOfTheVmThatLeftMove) {
   std::vector<VmId> vms;
+  vms.reserve(10);
   for (int i = 0; i < 10; ++i)
     vms.emplace_back("vm-" + std::to_string(i));
   std::vector<VmId> fewer(vms.begin(), vms.end() - 1);
--- a/src/savorysoak/loopback_proxy.cpp
+++ b/src/savorysoak/loopback_proxy.cpp
@@ -5,7 +5,7 @@
 namespace savorylb::soak {
 namespace {
 
-constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t ChunkBytes = 16'384;
 
 using Socket = asio::ip::tcp::socket;
 
--- a/src/savorysoak/soak_run.cpp
+++ b/src/savorysoak/soak_run.cpp
@@ -44,7 +44,7 @@
   Report.Violations.push_back(what);
 }
 
-void SoakRun::after(Duration span, std::function<void()> what) {
+void SoakRun::after(Duration span, const std::function<void()> &what) {
   auto timer = std::make_shared<asio::steady_timer>(Io, span);
   timer->async_wait(
       [what, timer](const boost::system::error_code &) { what(); });
@@ -229,7 +229,7 @@
 }
 
 void SoakRun::injectTarget(int which) {
-  static const TargetMode Modes[] = {
+  static const TargetMode modes[] = {
       TargetMode::Shed,        TargetMode::OtherTarget, TargetMode::LoseAnswer,
       TargetMode::CrossAnswer, TargetMode::Unsigned,    TargetMode::Silent,
       TargetMode::Fail};
@@ -240,7 +240,7 @@
   } else if (which == 1) {
     target->enter("draining");
   } else {
-    target->Mode = Modes[pick(std::size(Modes))];
+    target->Mode = modes[pick(std::size(modes))];
   }
   after(Millis(300 + pick(2000)), [target] {
     target->Mode = TargetMode::Serve;
--- a/src/savorysoak/soak_run.h
+++ b/src/savorysoak/soak_run.h
@@ -59,7 +59,7 @@
   void injectLink(int which);
   void withdrawKey();
   void heal();
-  void after(Duration span, std::function<void()> what);
+  void after(Duration span, const std::function<void()> &what);
   void violated(const std::string &what);
   void checkRuns();
   std::size_t pick(std::size_t n);
--- a/src/savoryvm/request_runner.cpp
+++ b/src/savoryvm/request_runner.cpp
@@ -95,7 +95,7 @@
   Current.ExpectedUncachedMs = choice.ExpectedUncachedMs;
   Current.LoadAtSend = expectedRequests(target, now);
   Current.SentAt = now;
-  noteSent(State, Steered, target, now);
+  noteSent(Steered, target, now);
   bool repeatable = Steered.Route->Repeat == RepeatRule::Repeatable;
   auto self = shared_from_this();
   Pool.acquire(target.Entry.Id, target.Entry.Address,
@@ -173,7 +173,6 @@
   outcome.Took = now - Current.SentAt;
   outcome.ExpectedMs = Current.ExpectedMs;
   outcome.ExpectedUncachedMs = Current.ExpectedUncachedMs;
-  outcome.LoadAtSend = Current.LoadAtSend;
   outcome.SentAt = Current.SentAt;
   noteOutcome(State, Steered, Current.Target, outcome, now);
 }
--- a/src/savoryvm/store_channel.cpp
+++ b/src/savoryvm/store_channel.cpp
@@ -8,10 +8,11 @@
 
 } // namespace
 
-void StoreChannel::call(HttpMessage request, Duration timeout, Done done) {
+void StoreChannel::call(HttpMessage request, Duration timeout,
+                        const Done &done) {
   request.Fields.emplace_back("Host", Address);
   if (Connection && Connection->reusable()) {
-    transmit(request, timeout, std::move(done));
+    transmit(request, timeout, done);
     return;
   }
   Connection = std::make_shared<HttpConnection>(Io, MaxResponseBytes);
@@ -29,7 +30,7 @@
 }
 
 void StoreChannel::transmit(const HttpMessage &request, Duration timeout,
-                            Done done) {
+                            const Done &done) {
   Exchange exchange;
   exchange.Head = std::make_shared<std::string>(requestHead(request));
   exchange.Body = std::make_shared<std::string>(request.Body);
@@ -40,7 +41,7 @@
     if (connection != Connection)
       return;
     if (end == ExchangeEnd::Answered)
-      done(std::move(response));
+      done(Result<HttpMessage>(std::move(response)));
     else
       done(failure(ErrorCode::Unknown, end == ExchangeEnd::TimedOut
                                            ? "no response in time"
--- a/src/savoryvm/store_channel.h
+++ b/src/savoryvm/store_channel.h
@@ -14,7 +14,7 @@
 /// again when it has ended.
 class StoreChannel {
 public:
-  using Done = std::function<void(Result<HttpMessage>)>;
+  using Done = std::function<void(const Result<HttpMessage> &)>;
 
   StoreChannel(asio::any_io_executor io, std::string address)
       : Io(std::move(io)), Address(std::move(address)) {}
@@ -25,12 +25,12 @@
   /// \param timeout for connection and response.
   /// \param done gets the response, or Unavailable when nothing was sent, or
   ///        Unknown when the call may have taken effect.
-  void call(HttpMessage request, Duration timeout, Done done);
+  void call(HttpMessage request, Duration timeout, const Done &done);
 
   void close();
 
 private:
-  void transmit(const HttpMessage &request, Duration timeout, Done done);
+  void transmit(const HttpMessage &request, Duration timeout, const Done &done);
 
   asio::any_io_executor Io;
   std::string Address;
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -31,7 +31,7 @@
   Mirror.Prefix = std::move(prefix);
 }
 
-void StoreSync::later(Duration pause, std::function<void()> next) {
+void StoreSync::later(Duration pause, const std::function<void()> &next) {
   Timer.expires_after(pause);
   Timer.async_wait([next](const boost::system::error_code &ec) {
     if (!ec)
@@ -61,7 +61,7 @@
   if (after.empty())
     Listed = platform::StorePage();
   Channel.call(platform::listRequest(Mirror.Prefix, after), CallTimeout,
-               [this, after](Result<HttpMessage> response) {
+               [this, after](const Result<HttpMessage> &response) {
                  auto page = response ? platform::readPage(response.value())
                                       : Result<platform::StorePage>(
                                             failure(response.error().Code,
@@ -101,7 +101,8 @@
   Millis wait = followed ? std::min(Wait, FollowedWait) : Wait;
   Duration timeout = followed ? FollowedTimeout : CallTimeout;
   Channel.call(platform::watchRequest(Mirror.Prefix, Mirror.Known, wait),
-               Duration(wait) + timeout, [this](Result<HttpMessage> response) {
+               Duration(wait) + timeout,
+               [this](const Result<HttpMessage> &response) {
                  auto page = response ? platform::readPage(response.value())
                                       : Result<platform::StorePage>(
                                             failure(response.error().Code,
@@ -133,7 +134,7 @@
   request.Path =
       "/news/" + std::to_string(Mirror.Known.Value) + "/" + Mirror.Prefix;
   Peer->call(request, FollowWait + FollowTimeout,
-             [this, address](Result<HttpMessage> response) {
+             [this, address](const Result<HttpMessage> &response) {
                onNews(address, response);
              });
 }
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -57,7 +57,7 @@
   void onNews(const std::string &address, const Result<HttpMessage> &response);
   void answerFollowers();
   void respond(const std::shared_ptr<ServedRequest> &request, Revision after);
-  void later(Duration pause, std::function<void()> next);
+  void later(Duration pause, const std::function<void()> &next);
   void failed(const Error &error);
 
   asio::steady_timer Timer;
--- a/src/savoryvm/target_pool.cpp
+++ b/src/savoryvm/target_pool.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 void TargetPool::acquire(const TargetId &target, const std::string &address,
-                         Duration maxIdle, Ready ready) {
+                         Duration maxIdle, const Ready &ready) {
   auto &idle = Idle[target];
   MonoTime now = monoNow();
   while (!idle.empty()) {
--- a/src/savoryvm/target_pool.h
+++ b/src/savoryvm/target_pool.h
@@ -26,7 +26,7 @@
   /// \param maxIdle idle connections older than this are not used.
   /// \param ready called with the connection; fresh ones have no Exchanges.
   void acquire(const TargetId &target, const std::string &address,
-               Duration maxIdle, Ready ready);
+               Duration maxIdle, const Ready &ready);
 
   /// Takes a connection back after an exchange.
   void release(const TargetId &target,
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -488,7 +488,7 @@
   bool targetsToo = away;
   PeerChannel->call(
       request, Seconds(1),
-      [this, peer, targetsToo](Result<HttpMessage> response) {
+      [this, peer, targetsToo](const Result<HttpMessage> &response) {
         PeerAsked = false;
         adoptFromPeer(peer, platform::OperatorPrefix, response);
         if (!targetsToo || !response)
@@ -497,7 +497,7 @@
         more.Method = "GET";
         more.Path = std::string("/news/0/") + platform::TargetPrefix;
         PeerChannel->call(more, Seconds(1),
-                          [this, peer](Result<HttpMessage> answer) {
+                          [this, peer](const Result<HttpMessage> &answer) {
                             adoptFromPeer(peer, platform::TargetPrefix, answer);
                           });
       });
--- a/src/savoryvm/vm_registration.cpp
+++ b/src/savoryvm/vm_registration.cpp
@@ -39,7 +39,7 @@
   Busy = true;
   if (Stopping) {
     Channel.call(platform::endLeaseRequest(Lease), CallTimeout,
-                 [](Result<HttpMessage>) {
+                 [](const Result<HttpMessage> &) {
                    // The lease ends by itself if the call was lost.
                  });
   } else if (!Changes.empty()) {
@@ -55,7 +55,7 @@
 
 void VmRegistration::openLease() {
   Channel.call(platform::leaseRequest(LeaseSpan), CallTimeout,
-               [this](Result<HttpMessage> response) {
+               [this](const Result<HttpMessage> &response) {
                  if (response) {
                    auto lease = platform::readLease(response.value());
                    if (lease)
@@ -71,7 +71,7 @@
   change.Value = Value;
   change.Lease = Lease;
   Channel.call(platform::changeRequest(change), CallTimeout,
-               [this](Result<HttpMessage> response) {
+               [this](const Result<HttpMessage> &response) {
                  if (response) {
                    auto changed = platform::readChanged(response.value());
                    Written = changed.has_value();
@@ -84,7 +84,7 @@
 
 void VmRegistration::renew() {
   Channel.call(platform::renewRequest(Lease), CallTimeout,
-               [this](Result<HttpMessage> response) {
+               [this](const Result<HttpMessage> &response) {
                  bool renewed = false;
                  if (response) {
                    auto lease = platform::readLease(response.value());
@@ -103,7 +103,7 @@
   platform::StoreChange change = Changes.front();
   Changes.pop_front();
   Channel.call(platform::changeRequest(change), CallTimeout,
-               [this, change](Result<HttpMessage> response) {
+               [this, change](const Result<HttpMessage> &response) {
                  std::string outcome = "written";
                  if (!response) {
                    outcome = response.error().Message;
--- a/src/standins/platform/platform_caller.cpp
+++ b/src/standins/platform/platform_caller.cpp
@@ -33,7 +33,8 @@
 callVm(asio::io_context &io, const std::string &address,
        const CallerRequest &request,
        const std::function<void(const CallerResult &)> &done) {
-  auto connection = std::make_shared<HttpConnection>(io.get_executor(), MaxBody);
+  auto connection =
+      std::make_shared<HttpConnection>(io.get_executor(), MaxBody);
   MonoTime begun = monoNow();
   connection->connect(
       address, ConnectTimeout,
