--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -205,7 +205,6 @@
   }
 
   void reject(int status, const char *reason) {
-    Rejected = true;
     send(Server.Reject(status, reason), true, false);
   }
 
@@ -260,7 +259,6 @@
   bool Writing = false;
   bool Lingering = false;
   bool Continued = false;
-  bool Rejected = false;
   bool Closed = false;
 };
 
--- /dev/null
+++ b/src/libsavorysteer/steering_documents.cpp
@@ -0,0 +1,80 @@
+// How the state takes in the configuration, targets, orders and evacuations.
+#include "steering_state.h"
+
+#include <algorithm>
+
+namespace savorylb {
+namespace {
+
+RegionId regionOf(const SteeringState &state, const ZoneId &zone) {
+  auto it = state.Zones.find(zone);
+  return it == state.Zones.end() ? RegionId() : it->second;
+}
+
+} // namespace
+
+bool adoptConfig(SteeringState &state, SteerConfig config) {
+  if (state.Config && state.Config->Version >= config.Version)
+    return false;
+  state.SplitCredit.clear();
+  state.Config = std::make_shared<const SteerConfig>(std::move(config));
+  return true;
+}
+
+void adoptTarget(SteeringState &state, const TargetEntry &entry, MonoTime now) {
+  auto [it, added] = state.Targets.try_emplace(entry.Id);
+  TargetState &target = it->second;
+  if (added) {
+    target.Entry = entry;
+    if (entry.WarmupLeft > Millis::zero())
+      target.ColdUntil = now + entry.WarmupLeft;
+  } else {
+    noteEntry(target, entry, now);
+  }
+  target.Region = regionOf(state, entry.Zone);
+}
+
+void dropTarget(SteeringState &state, const TargetId &target) {
+  state.Targets.erase(target);
+}
+
+void adoptOrder(SteeringState &state, const RolloutOrder &order, MonoTime now) {
+  ServiceState &service = state.Services[order.Service];
+  if (service.Order && service.Order->Ordered == order.Ordered)
+    return;
+  service.Order = order;
+  service.OrderedAt = now;
+  service.CandidateBad = false;
+  service.Evidence.clear();
+  service.CandidateCredit = 0;
+}
+
+void dropOrder(SteeringState &state, const ServiceId &service) {
+  state.Services[service].Order.reset();
+}
+
+void adoptStatus(SteeringState &state, const ServiceId &service,
+                 const RolloutStatus &status) {
+  ServiceState &known = state.Services[service];
+  if (status.Written < known.Status.Written)
+    return;
+  known.Status = status;
+}
+
+void startEvacuation(SteeringState &state, const ZoneId &zone) {
+  state.Evacuated.insert(zone);
+}
+
+void endEvacuation(SteeringState &state, const ZoneId &zone, MonoTime now) {
+  if (!state.Evacuated.erase(zone))
+    return;
+  for (auto &[id, target] : state.Targets) {
+    if (target.Entry.Zone != zone || !state.Config)
+      continue;
+    auto rule = state.Config->Services.find(target.Entry.Service);
+    if (rule != state.Config->Services.end())
+      target.ColdUntil = std::max(target.ColdUntil, now + rule->second.Warmup);
+  }
+}
+
+} // namespace savorylb
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -22,11 +22,6 @@
 /// Retry delay when the VM has no configuration or a service has no target.
 constexpr Duration UnknownRetryAfter = Millis(500);
 
-RegionId regionOf(const SteeringState &state, const ZoneId &zone) {
-  auto it = state.Zones.find(zone);
-  return it == state.Zones.end() ? RegionId() : it->second;
-}
-
 double roundTripMs(const SteeringState &state, const TargetState &target) {
   auto it = state.RoundTripMs.find(target.Entry.Zone);
   if (it != state.RoundTripMs.end())
@@ -354,70 +349,6 @@
       ms < it->second ? ms : it->second + RoundTripWeight * (ms - it->second);
 }
 
-bool adoptConfig(SteeringState &state, SteerConfig config) {
-  if (state.Config && state.Config->Version >= config.Version)
-    return false;
-  state.SplitCredit.clear();
-  state.Config = std::make_shared<const SteerConfig>(std::move(config));
-  return true;
-}
-
-void adoptTarget(SteeringState &state, const TargetEntry &entry, MonoTime now) {
-  auto [it, added] = state.Targets.try_emplace(entry.Id);
-  TargetState &target = it->second;
-  if (added) {
-    target.Entry = entry;
-    if (entry.WarmupLeft > Millis::zero())
-      target.ColdUntil = now + entry.WarmupLeft;
-  } else {
-    noteEntry(target, entry, now);
-  }
-  target.Region = regionOf(state, entry.Zone);
-}
-
-void dropTarget(SteeringState &state, const TargetId &target) {
-  state.Targets.erase(target);
-}
-
-void adoptOrder(SteeringState &state, const RolloutOrder &order, MonoTime now) {
-  ServiceState &service = state.Services[order.Service];
-  if (service.Order && service.Order->Ordered == order.Ordered)
-    return;
-  service.Order = order;
-  service.OrderedAt = now;
-  service.CandidateBad = false;
-  service.Evidence.clear();
-  service.CandidateCredit = 0;
-}
-
-void dropOrder(SteeringState &state, const ServiceId &service) {
-  state.Services[service].Order.reset();
-}
-
-void adoptStatus(SteeringState &state, const ServiceId &service,
-                 const RolloutStatus &status) {
-  ServiceState &known = state.Services[service];
-  if (status.Written < known.Status.Written)
-    return;
-  known.Status = status;
-}
-
-void startEvacuation(SteeringState &state, const ZoneId &zone) {
-  state.Evacuated.insert(zone);
-}
-
-void endEvacuation(SteeringState &state, const ZoneId &zone, MonoTime now) {
-  if (!state.Evacuated.erase(zone))
-    return;
-  for (auto &[id, target] : state.Targets) {
-    if (target.Entry.Zone != zone || !state.Config)
-      continue;
-    auto rule = state.Config->Services.find(target.Entry.Service);
-    if (rule != state.Config->Services.end())
-      target.ColdUntil = std::max(target.ColdUntil, now + rule->second.Warmup);
-  }
-}
-
 bool rolloutRuns(const ServiceState &service) {
   if (!service.Order)
     return false;
@@ -426,87 +357,4 @@
   return !ended || service.Status.Written < service.Order->Ordered;
 }
 
-std::map<VmId, std::map<TeamId, TeamUse>> takeTeamReports(SteeringState &state,
-                                                          MonoTime now) {
-  std::map<VmId, std::map<TeamId, TeamUse>> reports;
-  std::vector<VmId> vms;
-  for (const VmEntry &it : liveVms(state.Fleet, now))
-    vms.push_back(it.Vm);
-  for (auto &[team, gate] : state.Gates) {
-    if (!reportDue(gate, now))
-      continue;
-    VmId keeper = ledgerVm(team, vms);
-    if (!keeper.empty())
-      reports[keeper][team] = takeUse(gate, now);
-  }
-  auto own = reports.find(state.Fleet.Self.Vm);
-  if (own != reports.end()) {
-    adoptTeamParts(
-        state, adoptTeamReport(state, state.Fleet.Self.Vm, own->second, now),
-        now);
-    reports.erase(own);
-  }
-  return reports;
-}
-
-std::map<TeamId, double> adoptTeamReport(SteeringState &state, const VmId &vm,
-                                         const std::map<TeamId, TeamUse> &uses,
-                                         MonoTime now) {
-  std::map<TeamId, double> parts;
-  if (!state.Config)
-    return parts;
-  for (const auto &[team, use] : uses) {
-    auto rule = state.Config->Teams.find(team);
-    if (rule == state.Config->Teams.end() ||
-        rule->second.RequestsPerSecond <= 0)
-      continue;
-    TeamRate rate{rule->second.RequestsPerSecond, rule->second.Burst};
-    TeamLedger &ledger = state.Ledgers[team];
-    noteTeamUse(ledger, vm, use, rate, now);
-    parts[team] = admittedPart(ledger, rate, now);
-  }
-  return parts;
-}
-
-void adoptTeamParts(SteeringState &state, const std::map<TeamId, double> &parts,
-                    MonoTime now) {
-  for (const auto &[team, part] : parts) {
-    TeamGate &gate = state.Gates[team];
-    gate.Part = part;
-    gate.Known = true;
-    gate.HeardAt = now;
-  }
-}
-
-PeerReport makeReport(SteeringState &state, MonoTime now) {
-  PeerReport report;
-  report.Vm = state.Fleet.Self;
-  report.Draining = state.Fleet.SelfDraining;
-  report.Documents = state.Documents;
-  for (auto &[id, limit] : state.Teams) {
-    updateDemand(limit, now);
-    if (limit.DemandPerSecond > 0.05)
-      report.Demand[id] = limit.DemandPerSecond;
-  }
-  for (const auto &[id, service] : state.Services)
-    if (rolloutRuns(service))
-      report.Rollouts[id] = {service.Order->Ordered, now - service.OrderedAt,
-                             service.CandidateBad, service.Evidence};
-  return report;
-}
-
-void adoptReport(SteeringState &state, const PeerReport &report, MonoTime now) {
-  if (report.Vm.Vm == state.Fleet.Self.Vm)
-    return;
-  state.Fleet.Peers[report.Vm.Vm] = {report, now};
-  for (const auto &[id, rollout] : report.Rollouts) {
-    ServiceState &service = state.Services[id];
-    if (!service.Order || service.Order->Ordered != rollout.Ordered)
-      continue;
-    // A VM that restarted learns how long the rollout has gone on.
-    service.OrderedAt = std::min(service.OrderedAt, now - rollout.Elapsed);
-    service.CandidateBad |= rollout.Bad;
-  }
-}
-
 } // namespace savorylb
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -31,6 +31,10 @@
 
   void onOperatorChanges(const std::vector<platform::StoreItem> &changes);
   void onOperatorChange(const platform::StoreItem &item);
+  void onConfig(const platform::StoreItem &item);
+  void onRolloutOrder(const platform::StoreItem &item,
+                      const ServiceId &service);
+  void onEvacuation(const platform::StoreItem &item, const ZoneId &zone);
   void onTargetChanges(const std::vector<platform::StoreItem> &changes);
   void onSystemChanges(const std::vector<platform::StoreItem> &changes);
   void removeTarget(const TargetId &target, const char *reason);
