Let requests return to their region in steps after a burst

Ruled out: failures, none was near. Change: while the own region's part rises fast, requests that are in time elsewhere stay there; nothing is refused for it. A mutant that ignored homes in placing had survived; it has a test now.

--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -195,6 +195,28 @@
   return found;
 }
 
+/// Answers the end of a burst: requests that ran in other regions return to
+/// the own one in steps. Only those that are in time elsewhere stay away.
+PlacementChoice keepAway(const SteeringState &state,
+                         const PlacementRequest &query,
+                         std::vector<PlacementCandidate> candidates,
+                         const PlacementChoice &choice, MonoTime now) {
+  const RegionId &own = state.Fleet.Self.Region;
+  if (!choice.Target || choice.Target->Region != own ||
+      regionMayGrow(state.Regions, own, now))
+    return choice;
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                  [&](const PlacementCandidate &it) {
+                                    return it.Target->Region == own;
+                                  }),
+                   candidates.end());
+  PlacementChoice away = placeRequest(query, candidates, now);
+  double leftMs = static_cast<double>(
+                      (Duration(query.LatencyTarget) - query.Elapsed).count()) /
+                  1000.0;
+  return away.Target && away.ExpectedMs <= leftMs ? away : choice;
+}
+
 } // namespace
 
 Admission admitRequest(SteeringState &state, SteeredRequest &request,
@@ -278,12 +300,15 @@
   const ServiceState::WorkTime &work = workTime(service, *request.Route);
   query.CachedMs = work.CachedMs;
   query.UncachedMs = work.UncachedMs;
-  return placeRequest(query, candidates, now);
+  PlacementChoice choice = placeRequest(query, candidates, now);
+  return keepAway(state, query, candidates, choice, now);
 }
 
-void noteSent(SteeredRequest &request, TargetState &target, MonoTime now) {
+void noteSent(SteeringState &state, SteeredRequest &request,
+              TargetState &target, MonoTime now) {
   request.Tried.push_back(target.Entry.Id);
   target.InFlight.push_back(now);
+  noteRegion(state.Regions, target.Region, now);
   auto rule = request.Config->Services.find(request.Service);
   if (now < target.ColdUntil && rule != request.Config->Services.end())
     takeWarmupToken(target, rule->second.WarmupPerSecond, now);
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -3,6 +3,7 @@
 
 #include "fleet_view.h"
 #include "placement_policy.h"
+#include "region_shares.h"
 #include "repeat_allowance.h"
 #include "rollout_stage.h"
 #include "steer_config.h"
@@ -65,6 +66,8 @@
   FleetView Fleet;
   /// Round trip to targets of a zone.
   std::map<ZoneId, double> RoundTripMs;
+  /// Where the requests of this VM run.
+  RegionShares Regions;
   /// Credit of each split of a route, so that the parts are kept exactly.
   std::map<RouteId, std::map<ServiceId, double>> SplitCredit;
 };
@@ -133,7 +136,8 @@
                              MonoTime now);
 
 /// Notes that a request is sent to a target.
-void noteSent(SteeredRequest &request, TargetState &target, MonoTime now);
+void noteSent(SteeringState &state, SteeredRequest &request,
+              TargetState &target, MonoTime now);
 
 /// Outcome of one send.
 struct SendOutcome {
--- a/src/libsavorysteer/steering_state_test.cpp
+++ b/src/libsavorysteer/steering_state_test.cpp
@@ -175,7 +175,7 @@
     admitRequest(state, request, "maps.example", "/tiles/1", "key-1", now);
     PlacementChoice choice = chooseTarget(state, request, now);
     if (choice.Target && choice.Target->Entry.Id == TargetId("i-1")) {
-      noteSent(request, *choice.Target, now);
+      noteSent(state, request, *choice.Target, now);
       choice.Target->InFlight.clear();
       ++sent;
     }
@@ -183,6 +183,21 @@
   CHECK_TRUE(sent <= 9.3 * 1.5 + 5);
 }
 
+// Guards against a target outside the homes of its route, near as it may be.
+TEST(SteeringState, TargetsOutsideTheHomesAreNotChosen) {
+  SteeringState state = makeState();
+  SteerConfig config = makeConfig(6);
+  config.Routes[0].Homes = {RegionId("elmina")};
+  adoptConfig(state, config);
+  SteeredRequest request = makeRequest(Start);
+  admitRequest(state, request, "maps.example", "/tiles/1", "key-1", Start);
+  PlacementChoice choice = chooseTarget(state, request, Start);
+  STRCMP_EQUAL("i-2", choice.Target->Entry.Id.Value.c_str());
+  dropTarget(state, TargetId("i-2"));
+  choice = chooseTarget(state, request, Start);
+  POINTERS_EQUAL(nullptr, choice.Target);
+}
+
 // Guards against parts of a split that drift from their weights.
 TEST(SteeringState, SplitKeepsItsWeights) {
   SteeringState state = makeState();
--- a/src/savoryvm/request_runner.cpp
+++ b/src/savoryvm/request_runner.cpp
@@ -95,7 +95,7 @@
   Current.ExpectedUncachedMs = choice.ExpectedUncachedMs;
   Current.LoadAtSend = expectedRequests(target, now);
   Current.SentAt = now;
-  noteSent(Steered, target, now);
+  noteSent(State, Steered, target, now);
   bool repeatable = Steered.Route->Repeat == RepeatRule::Repeatable;
   auto self = shared_from_this();
   Pool.acquire(target.Entry.Id, target.Entry.Address,
