Return to the own region in smaller steps

Ruled out: the start, at which parts were not yet scaled; mended too, without effect on the test. Change: a rise of 0.03. Before: test red.

--- a/src/libsavorysteer/region_shares.cpp
+++ b/src/libsavorysteer/region_shares.cpp
@@ -42,7 +42,17 @@
   auto it = shares.Shares.find(region);
   if (it == shares.Shares.end() || now - shares.Begun < FreeAfterStart)
     return true;
-  return it->second.Recent <= it->second.Settled + MaxShareRise;
+  // The sums near one only some time after the start.
+  double recent = 0;
+  double settled = 0;
+  for (const auto &[id, share] : shares.Shares) {
+    recent += share.Recent;
+    settled += share.Settled;
+  }
+  if (recent <= 0 || settled <= 0)
+    return true;
+  return it->second.Recent / recent <=
+         it->second.Settled / settled + MaxShareRise;
 }
 
 } // namespace savorylb
--- a/src/libsavorysteer/region_shares.h
+++ b/src/libsavorysteer/region_shares.h
@@ -23,7 +23,7 @@
 /// How far the recent share of a region may lie above its settled one. The
 /// bound over all VMs is 0.15 from one span of 2 s to the next; the settled
 /// share follows by a few hundredths in that time.
-constexpr double MaxShareRise = 0.06;
+constexpr double MaxShareRise = 0.03;
 
 /// Notes that a request is sent to a region.
 void noteRegion(RegionShares &shares, const RegionId &region, MonoTime now);
