Explain a request from the logs of several VMs

Cause: the walk from an id to its cause took several searches by hand. Change: `savoryctl explain ID < log` prints the lines of a request and those of its targets and VMs near it in time order, and one sentence on the cause. Refusals by overload log the time that the best target would have taken, and the last line of a request logs whether the store was reachable. Ruled out: reading the logs from the VMs; they have no disk, and the platform collects standard output. Before: no such command.

--- a/src/savoryctl/command_line.cpp
+++ b/src/savoryctl/command_line.cpp
@@ -5,6 +5,7 @@
 #include "config_commands.h"
 #include "daemon_status.h"
 #include "drain_commands.h"
+#include "explain_command.h"
 #include "history.h"
 #include "key_commands.h"
 #include "ownership_commands.h"
@@ -13,6 +14,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <memory>
 #include <sstream>
 #include <utility>
@@ -231,6 +233,18 @@
   });
 }
 
+void addExplainCommand(const Builder &builder) {
+  const Options &it = builder.Values;
+  CLI::App *explain = builder.App.add_subcommand(
+      "explain", "tell why a request ended as it did, from the logs of all VMs "
+                 "on standard input");
+  explain->add_option("ID", it->Name, "the id of the caller's attempt")
+      ->required();
+  onRun(builder, explain, [it](const ToolContext &) {
+    return explainRequest(std::cin, it->Name);
+  });
+}
+
 } // namespace
 
 std::optional<ExitCode> parseCommandLine(int argc, const char *const *argv,
@@ -259,6 +273,7 @@
   addRolloutCommands(builder);
   addOwnershipCommands(builder);
   addStatusCommand(builder);
+  addExplainCommand(builder);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError &error) {
--- /dev/null
+++ b/src/savoryctl/request_story_test.cpp
@@ -0,0 +1,111 @@
+#include "explain_command.h"
+#include "request_story.h"
+
+#include <sstream>
+
+// Replaces operator new, which the standard headers must not see.
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+/// A line of a log.
+std::string line(std::int64_t timeMs, const std::string &vm,
+                 const std::string &name, const std::string &fields) {
+  return "{\"time_ms\":" + std::to_string(timeMs) + ",\"event\":1,\"name\":\"" +
+         name + "\",\"vm\":\"" + vm + "\"," + fields + "}\n";
+}
+
+std::string broken(std::int64_t timeMs) {
+  return line(timeMs, "vm-2", "request_unknown",
+              R"("trace":"p-1","service":"permits","target":"i-0",)"
+              R"("status":502,"reason":"broken","sends":1,"total_us":80000)");
+}
+
+RequestStory tell(const std::string &log, const std::string &trace = "p-1") {
+  std::istringstream in(log);
+  return tellRequest(in, trace);
+}
+
+void checkCause(const char *part, const RequestStory &story) {
+  if (story.Cause.find(part) == std::string::npos)
+    FAIL(("no \"" + std::string(part) + "\" in: " + story.Cause).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(RequestStory){};
+
+// Guards against logs of several VMs that are told in the order of the files.
+TEST(RequestStory, OrdersLinesByTime) {
+  RequestStory story =
+      tell(broken(5000) + line(4950, "vm-1", "request_retried",
+                               R"("trace":"p-1","target":"i-3")"));
+  LONGS_EQUAL(2, story.Lines.size());
+  STRCMP_EQUAL("vm-1", story.Lines[0].Vm.c_str());
+}
+
+// Guards against a story that is lost among the lines of other requests.
+TEST(RequestStory, LeavesOutOtherRequestsAndDistantEvents) {
+  RequestStory story = tell(
+      line(9900, "vm-2", "request_refused", R"("trace":"p-10","reason":"x")") +
+      line(100, "vm-2", "target_down", R"("target":"i-0","reason":"gone")") +
+      line(20000, "vm-2", "target_down", R"("target":"i-0","reason":"gone")") +
+      line(9900, "vm-2", "target_down", R"("target":"i-9","reason":"gone")") +
+      broken(10000));
+  LONGS_EQUAL(1, story.Lines.size());
+}
+
+// Guards against a crash that is taken for a lost answer, and the reverse.
+TEST(RequestStory, TellsACrashFromALostAnswer) {
+  checkCause("stayed in the store", tell(broken(5000)));
+  std::string down = line(6200, "vm-7", "target_down",
+                          R"("target":"i-0","reason":"entry-removed")");
+  checkCause("left the store 1200 ms later", tell(broken(5000) + down));
+}
+
+// Guards against a target that is blamed for a pause of the VM.
+TEST(RequestStory, TellsASlowTargetFromAPausedVm) {
+  std::string late =
+      line(5000, "vm-2", "request_unknown",
+           R"("trace":"p-1","target":"i-0","reason":"timeout",)"
+           R"("total_us":3000000,"expected_ms":40,"load_at_send":1)");
+  checkCause("i-0 was slow or silent", tell(late));
+  checkCause("expected 40 ms with 1 other", tell(late));
+  std::string pause =
+      line(4800, "vm-2", "pause_noticed", R"("gap_us":2000000)");
+  checkCause("The VM itself stood still", tell(late + pause));
+}
+
+// Guards against refusals whose reason the operator has to look up.
+TEST(RequestStory, ExplainsEachRefusal) {
+  auto refused = [](const std::string &reason) {
+    return line(5000, "vm-2", "request_refused",
+                R"("trace":"p-1","service":"tiles","team":"port","status":503,)"
+                R"("config":7,"expected_ms":900,"reason":")" +
+                    reason + "\"");
+  };
+  checkCause("no free slot", tell(refused("overload")));
+  checkCause("900 ms", tell(refused("overload")));
+  checkCause("Team port was over its limit", tell(refused("team-limit")));
+  checkCause("No target of tiles", tell(refused("no-target")));
+  checkCause("without running it", tell(refused("shed")));
+  checkCause("knew no configuration", tell(refused("not-ready")));
+  checkCause("version 7", tell(refused("unknown-key")));
+}
+
+// Guards against a cut log that hides what the rest of it tells.
+TEST(RequestStory, CountsUnreadableLines) {
+  RequestStory story = tell("{\"time_ms\":49\n" + broken(5000));
+  LONGS_EQUAL(1, story.Unreadable);
+  LONGS_EQUAL(1, story.Lines.size());
+}
+
+// Guards against an unknown id that looks like a request without a cause.
+TEST(RequestStory, UnknownIdIsNotFound) {
+  std::istringstream in(broken(5000));
+  CommandResult result = explainRequest(in, "p-2");
+  LONGS_EQUAL(static_cast<int>(ExitCode::NotFound),
+              static_cast<int>(result.Code));
+}
--- a/src/savoryvm/request_runner.cpp
+++ b/src/savoryvm/request_runner.cpp
@@ -79,6 +79,7 @@
   MonoTime now = monoNow();
   PlacementChoice choice = chooseTarget(State, Steered, now);
   if (!choice.Target) {
+    Current.ExpectedMs = choice.ExpectedMs; // For the log.
     refuse(503, choice.Reason, choice.RetryAfter);
     return;
   }
@@ -278,7 +279,6 @@
   Deadline.cancel();
   if (Current.Connection)
     Current.Connection->close();
-  MonoTime now = monoNow();
   auto found = State.Targets.find(Current.Target);
   if (found != State.Targets.end()) {
     auto &flying = found->second.InFlight;
@@ -286,7 +286,6 @@
     if (it != flying.end())
       flying.erase(it);
   }
-  (void)now;
   logEnd(0, "caller-gone", true);
 }
 
@@ -330,6 +329,7 @@
                   {"sends", static_cast<std::int64_t>(TimesSent)},
                   {"config",
                    Steered.Config ? Steered.Config->Version : std::int64_t(0)},
+                  {"store_reachable", State.Fleet.StoreReachable},
                   {"object", Steered.Object},
                   {"expected_ms", Current.ExpectedMs},
                   {"load_at_send", Current.LoadAtSend},
