Weigh load reports by the number of VMs

Change: the weight is 0.01 for each VM, within 0.1 and 0.4; 10 VMs keep 0.1. Conclusion: a part of the cause; the estimate is still too low in bursts.

--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -8,8 +8,12 @@
 
 /// Slowness above this says no more than that the target should be left alone.
 constexpr double MaxSlowness = 20;
-/// Part of one report in the mean of other VMs' requests.
-constexpr double OthersWeight = 0.1;
+/// Part of one report in the mean of other VMs' requests, for each VM, and its
+/// bounds: ten reports with 10 VMs. With 90 VMs a target reports to each of them
+/// every 3 s, and ten reports are half a minute.
+constexpr double OthersWeightPerVm = 0.01;
+constexpr double MinOthersWeight = 0.1;
+constexpr double MaxOthersWeight = 0.4;
 
 /// Objects remembered of one target; more than a target has cached.
 constexpr std::size_t MaxObjects = 128;
@@ -24,6 +28,8 @@
 } // namespace
 
 void setReportMemory(TargetState &target, int vms) {
+  target.OthersWeight =
+      std::clamp(OthersWeightPerVm * vms, MinOthersWeight, MaxOthersWeight);
   target.ReportMemory =
       std::clamp(vms * Duration(ReportMemoryPerVm), Duration(MinReportMemory),
                  Duration(MaxReportMemory));
@@ -33,7 +39,7 @@
   double others =
       load.Running + load.Waiting - static_cast<double>(target.InFlight.size());
   target.OthersLast = std::max(0.0, others);
-  target.OthersMean += OthersWeight * (target.OthersLast - target.OthersMean);
+  target.OthersMean += target.OthersWeight * (target.OthersLast - target.OthersMean);
   target.ReportedAt = now;
   if (load.Slots > 0)
     target.Entry.Slots = load.Slots;
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -25,6 +25,8 @@
   /// Requests of other VMs at the target, at ReportedAt and smoothed.
   double OthersLast = 0;
   double OthersMean = 0;
+  /// Part of one report in OthersMean.
+  double OthersWeight = 0.1;
   MonoTime ReportedAt{};
   Duration ReportMemory = Millis(300);
   /// Response time relative to the mean of its service, smoothed.
--- a/src/libsavorysteer/target_state_test.cpp
+++ b/src/libsavorysteer/target_state_test.cpp
@@ -95,3 +95,17 @@
   CHECK_TRUE(currentFailureRate(target, Start) > 0.9);
   CHECK_TRUE(currentFailureRate(target, Start + 4 * ResultMemory) < 0.05);
 }
+
+// Guards against VMs that overload a target because each hears of its queue
+// only every few seconds.
+TEST(TargetState, LearnsAQueueFromRareReports) {
+  TargetState target = makeTarget();
+  setReportMemory(target, 79);
+  MonoTime now = Start;
+  for (int i = 0; i < 4; ++i, now += Seconds(3)) {
+    target.InFlight.push_back(now);
+    noteLoad(target, {4, 3, 4}, now);
+    target.InFlight.clear();
+  }
+  CHECK_TRUE(expectedRequests(target, now) >= 4);
+}
