Keep one copy of an object in a region and one elsewhere

Cause: on the grown deployments up to three targets of a region got the same object. 14 targets of tema had 66 of 307 objects each and keep 25, so that most executions were uncached (680 ms instead of 204) and queues grew. Change: rendezvous hashing names one target of the region and one elsewhere. Few executions are uncached in quiet hours; bursts still run into the route's time.

--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -4,16 +4,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 
 namespace savorylb {
 namespace {
 
-/// One in so many of a region's targets should have an object cached, within
-/// bounds. Few copies leave each target room for the objects that it has; a
-/// second copy takes over when the first target is busy or gone.
-constexpr std::size_t TargetsPerCopy = 4;
-constexpr std::size_t MaxCopies = 3;
 /// Cost of a later copy relative to a cached execution, so that the first copy
 /// is used as long as it is free.
 constexpr double RankCost = 0.12;
@@ -101,27 +95,17 @@
   if (object.empty())
     return ranks;
   std::uint64_t seed = stableHash(object);
-  using Weighted = std::pair<std::uint64_t, std::size_t>;
-  std::vector<Weighted> near;
-  Weighted far{0, candidates.size()};
+  std::pair<std::uint64_t, std::size_t> near{0, candidates.size()};
+  std::pair<std::uint64_t, std::size_t> far{0, candidates.size()};
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const TargetState &target = *candidates[i].Target;
-    Weighted it{stableHash(target.Entry.Id.Value, seed), i};
-    if (target.Region == region)
-      near.push_back(it);
-    else
-      far = std::max(far, it);
+    auto &best = target.Region == region ? near : far;
+    best = std::max(best, {stableHash(target.Entry.Id.Value, seed), i});
   }
-  std::size_t copies =
-      std::min({near.size(), MaxCopies,
-                std::max<std::size_t>(1, (near.size() + TargetsPerCopy / 2) /
-                                             TargetsPerCopy)});
-  std::partial_sort(near.begin(), near.begin() + static_cast<long>(copies),
-                    near.end(), std::greater<>());
-  for (std::size_t i = 0; i < copies; ++i)
-    ranks[near[i].second] = static_cast<int>(i);
-  if (far.second < candidates.size())
-    ranks[far.second] = static_cast<int>(copies);
+  int rank = 0;
+  for (const auto &it : {near, far})
+    if (it.second < candidates.size())
+      ranks[it.second] = rank++;
   return ranks;
 }
 
--- a/src/libsavorysteer/placement_policy_test.cpp
+++ b/src/libsavorysteer/placement_policy_test.cpp
@@ -248,3 +248,26 @@
   CHECK_TRUE(moved > 50);
   CHECK_TRUE(moved < 150);
 }
+
+// Guards against targets that are given more objects than their caches hold: 14
+// targets of a region, each keeping 25 objects, and 307 objects.
+TEST(PlacementPolicy, ObjectsOfARegionFitIntoItsCaches) {
+  std::vector<TargetState> targets(150);
+  std::vector<PlacementCandidate> candidates;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    targets[i].Entry.Id = TargetId("t-" + std::to_string(i));
+    targets[i].Region = RegionId(i < 14 ? "tema" : "elmina");
+    candidates.push_back({&targets[i], 1});
+  }
+  std::size_t near = 0;
+  std::size_t far = 0;
+  for (int object = 0; object < 307; ++object) {
+    std::vector<int> ranks = objectRanks("o-" + std::to_string(object),
+                                         RegionId("tema"), candidates);
+    for (std::size_t i = 0; i < ranks.size(); ++i)
+      (i < 14 ? near : far) += ranks[i] >= 0;
+  }
+  CHECK_TRUE(near <= 14 * 25);
+  // Another region's copy takes over when the near target is full or gone.
+  LONGS_EQUAL(307, far);
+}
