Watch the store when two readers of a region fail

The first VMs of the region's order were cut off; asking each of them took 1.2 s, and after 3 s the first was asked again, so that the list was never passed. Ruled out: a cycle of followers (the order is the same on all VMs and each follows only VMs before itself); the hold of removals (the entries changed and were not removed). Change: the choice is code of its own (reader_choice). Two failed readers in a row make a VM watch the store for 2 s, a failed reader is left alone for 10 s, and one is given up after 1.0 s instead of 1.2 s. Before: news never while the cut lasted; after: within 2.5 s on a virtual clock with all readers silent, a test that the earlier choice cannot pass.

--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -9,8 +9,8 @@
 /// Slowness above this says no more than that the target should be left alone.
 constexpr double MaxSlowness = 20;
 /// Part of one report in the mean of other VMs' requests, for each VM, and its
-/// bounds: ten reports with 10 VMs. With 90 VMs a target reports to each of them
-/// every 3 s, and ten reports are half a minute.
+/// bounds: ten reports with 10 VMs. With 90 VMs a target reports to each of
+/// them every 3 s, and ten reports are half a minute.
 constexpr double OthersWeightPerVm = 0.01;
 constexpr double MinOthersWeight = 0.1;
 constexpr double MaxOthersWeight = 0.4;
@@ -39,7 +39,8 @@
   double others =
       load.Running + load.Waiting - static_cast<double>(target.InFlight.size());
   target.OthersLast = std::max(0.0, others);
-  target.OthersMean += target.OthersWeight * (target.OthersLast - target.OthersMean);
+  target.OthersMean +=
+      target.OthersWeight * (target.OthersLast - target.OthersMean);
   target.ReportedAt = now;
   if (load.Slots > 0)
     target.Entry.Slots = load.Slots;
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -12,11 +12,10 @@
 constexpr Duration CallTimeout = Millis(900);
 constexpr Duration RetryPause = Millis(250);
 /// How long a follower waits for news, and for the answer beyond that. Both
-/// together are half of the time in which a configuration has to be in force,
-/// so that the store can still be asked after a failure.
-constexpr Duration FollowWait = Millis(700);
-constexpr Duration FollowTimeout = Millis(500);
-constexpr Duration NotFollowedFor = Seconds(3);
+/// together are two fifths of the time in which a configuration has to be in
+/// force, so that the store can still be asked after two failures.
+constexpr Duration FollowWait = Millis(600);
+constexpr Duration FollowTimeout = Millis(400);
 /// A VM that is followed notices a silent connection sooner than others.
 constexpr Millis FollowedWait(1000);
 constexpr Duration FollowedTimeout = Millis(700);
@@ -89,7 +88,9 @@
 }
 
 void StoreSync::watch() {
-  std::string address = WhomToFollow ? WhomToFollow() : "";
+  std::string address = chooseReader(
+      Choice, ReadersBefore ? ReadersBefore() : std::vector<std::string>(),
+      StoreFails, monoNow());
   if (address.empty())
     watchStore();
   else
@@ -119,11 +120,6 @@
                });
 }
 
-bool StoreSync::mayFollow(const std::string &address) const {
-  auto it = NotFollowed.find(address);
-  return it == NotFollowed.end() || monoNow() >= it->second;
-}
-
 void StoreSync::watchPeer(const std::string &address) {
   if (!Peer || PeerAddress != address) {
     PeerAddress = address;
@@ -147,10 +143,11 @@
           : Result<MirrorNews>(failure(ErrorCode::Unavailable, "no news"));
   if (!news || news.value().Stale) {
     countEvent("follow_failed");
-    NotFollowed[address] = monoNow() + NotFollowedFor;
+    noteReaderFailed(Choice, address, monoNow());
     later(Duration(0), [this] { watch(); });
     return;
   }
+  noteReaderAnswered(Choice);
   OnContact(true);
   const platform::StorePage &page = news.value().Page;
   OnChanged(news.value().Whole ? applyList(Mirror, page)
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_STORE_SYNC_H
 
 #include "http_server.h"
+#include "reader_choice.h"
 #include "store_channel.h"
 #include "store_mirror.h"
 
@@ -27,10 +28,10 @@
             std::string prefix, Millis wait, Duration pause, Changed changed,
             Contact contact);
 
-  /// Names the VM whose mirror is followed in place of the store; empty when
-  /// this VM watches the store itself.
-  using Followed = std::function<std::string()>;
-  void follow(Followed followed) { WhomToFollow = std::move(followed); }
+  /// Names the VMs whose mirrors may be followed in place of the store, in the
+  /// order of preference.
+  using Readers = std::function<std::vector<std::string>()>;
+  void follow(Readers readers) { ReadersBefore = std::move(readers); }
 
   void start() { list(""); }
 
@@ -44,9 +45,6 @@
   /// Takes in documents from another VM, if they are newer.
   void adopt(const platform::StorePage &page);
 
-  /// \returns whether a VM has answered when it was followed, as far as known.
-  bool mayFollow(const std::string &address) const;
-
   const StoreMirror &mirror() const { return Mirror; }
 
 private:
@@ -71,11 +69,10 @@
   /// A list is needed before changes can be watched.
   bool NeedsList = true;
   bool StoreFails = false;
-  Followed WhomToFollow;
+  Readers ReadersBefore;
   std::string PeerAddress;
   std::unique_ptr<StoreChannel> Peer;
-  /// VMs that failed to answer, and until when they are not followed.
-  std::map<std::string, MonoTime> NotFollowed;
+  ReaderChoice Choice;
   struct Follower {
     std::shared_ptr<ServedRequest> Request;
     Revision After;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -148,23 +148,21 @@
   Systems.start();
   Registration.start();
   for (StoreSync *it : {&Operators, &Targets, &Systems})
-    it->follow([this, it] { return whomToFollow(*it); });
+    it->follow([this] { return readersBefore(); });
   waitForSignal();
   TickedAt = monoNow();
   tick();
   return true;
 }
 
-std::string VmDaemon::whomToFollow(const StoreSync &sync) const {
-  std::vector<VmEntry> order =
-      readersOf(State.Fleet, Settings.Region, monoNow());
-  for (const VmEntry &it : order) {
+std::vector<std::string> VmDaemon::readersBefore() const {
+  std::vector<std::string> addresses;
+  for (const VmEntry &it : readersOf(State.Fleet, Settings.Region, monoNow())) {
     if (it.Vm == State.Fleet.Self.Vm)
-      return "";
-    if (sync.mayFollow(it.PeerAddress))
-      return it.PeerAddress;
+      break;
+    addresses.push_back(it.PeerAddress);
   }
-  return "";
+  return addresses;
 }
 
 bool VmDaemon::ready() const {
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -51,7 +51,7 @@
   void startStop();
   void stopStep();
   bool ready() const;
-  std::string whomToFollow(const StoreSync &sync) const;
+  std::vector<std::string> readersBefore() const;
 
   asio::io_context &Io;
   VmSettings Settings;
