Keep only as many objects in a region as its targets serve

Change: a region whose slots are fewer than 0.65 of an equal share of the requests keeps that part of the objects, by hash; the others have both copies elsewhere from the start. The other regions keep all, as before.

--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -3,7 +3,9 @@
 #include "savorylb/hash.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <set>
 
 namespace savorylb {
 namespace {
@@ -80,6 +82,34 @@
          request.Tried.end();
 }
 
+/// Part of the targets' slots that the requests take, on which a region with
+/// few targets is taken to be full.
+constexpr double UsualUse = 0.65;
+/// Fractions of hashes are exact enough in this many steps.
+constexpr std::uint64_t HashSteps = 1 << 20;
+
+/// Answers a region with fewer targets than its share of the requests, which
+/// are taken to come from all regions alike: only as many of its objects are
+/// kept there as its targets can serve, the others elsewhere from the start.
+bool keptInRegion(std::uint64_t objectHash, const RegionId &region,
+                  const std::vector<PlacementCandidate> &candidates) {
+  double own = 0;
+  double all = 0;
+  std::set<RegionId> regions;
+  for (const PlacementCandidate &it : candidates) {
+    double slots = std::max(1, it.Target->Entry.Slots);
+    all += slots;
+    own += it.Target->Region == region ? slots : 0;
+    regions.insert(it.Target->Region);
+  }
+  if (own <= 0 || regions.size() < 2)
+    return true;
+  double share = own * static_cast<double>(regions.size()) / all / UsualUse;
+  double draw = static_cast<double>(objectHash % HashSteps) /
+                static_cast<double>(HashSteps);
+  return draw < share;
+}
+
 } // namespace
 
 bool knownCached(const TargetState &target, const std::string &object,
@@ -95,15 +125,28 @@
   if (object.empty())
     return ranks;
   std::uint64_t seed = stableHash(object);
-  std::pair<std::uint64_t, std::size_t> near{0, candidates.size()};
-  std::pair<std::uint64_t, std::size_t> far{0, candidates.size()};
+  bool inRegion = keptInRegion(seed, region, candidates);
+  using Weighted = std::pair<std::uint64_t, std::size_t>;
+  Weighted near{0, candidates.size()};
+  Weighted far{0, candidates.size()};
+  Weighted second{0, candidates.size()};
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const TargetState &target = *candidates[i].Target;
-    auto &best = target.Region == region ? near : far;
-    best = std::max(best, {stableHash(target.Entry.Id.Value, seed), i});
+    Weighted it{stableHash(target.Entry.Id.Value, seed), i};
+    if (target.Region == region) {
+      near = std::max(near, it);
+    } else if (it > far) {
+      second = far;
+      far = it;
+    } else {
+      second = std::max(second, it);
+    }
   }
+  std::array<Weighted, 2> order = inRegion
+                                      ? std::array<Weighted, 2>{near, far}
+                                      : std::array<Weighted, 2>{far, second};
   int rank = 0;
-  for (const auto &it : {near, far})
+  for (const Weighted &it : order)
     if (it.second < candidates.size())
       ranks[it.second] = rank++;
   return ranks;
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -59,8 +59,9 @@
 /// requests of a service are refused at shorter queues.
 ///
 /// Objects are spread by rendezvous hashing with bounded loads: every VM knows
-/// without messages which few targets of its region, and which one elsewhere,
-/// should have an object cached. The first of them is taken until its queue or
+/// without messages which target of its region, and which one elsewhere, should
+/// have an object cached; objects beyond what the region's targets can serve
+/// have two elsewhere. The first of them is taken until its queue or
 /// its distance costs more than the next one, and a target without the object
 /// only when that costs less than an uncached execution.
 /// \param request the request.
