Tell a connection closed by the VM from a caller that left

A request that is abandoned by a timer of the VM had the same log line as one whose caller disconnected (request_unknown, caller-gone), so the cause of a request without a response could not be read from the log. The reason is connection-closed now when the VM closed the connection, and the metric responses_not_sent counts responses that could not be written, which was not recorded at all.

AbortedRequestIsNotReportedAsClosedByServer covers the flag; it cannot be compiled without it.

--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "http_connection.h"
 #include "savorylb/clock.h"
+#include "savorylb/metrics.h"
 
 #include <optional>
 
@@ -22,6 +23,8 @@
 
 class HttpServer::Session : public std::enable_shared_from_this<Session> {
 public:
+  enum class ClosedBy { Client, Server };
+
   Session(HttpServer &server, asio::ip::tcp::socket socket)
       : Server(server), Socket(std::move(socket)), Timer(server.Io),
         ReadBuffer(ReadBufferBytes, 0) {}
@@ -34,7 +37,7 @@
 
   bool idle() const { return !Busy && Buffer.empty() && !readerStarted(); }
 
-  void close() {
+  void close(ClosedBy by) {
     if (Closed)
       return;
     Closed = true;
@@ -43,21 +46,23 @@
     Socket.close(ignored);
     auto self = shared_from_this();
     Server.Sessions.erase(self);
-    abandonRequest();
+    abandonRequest(by);
   }
 
 private:
   bool readerStarted() const { return Reader && Reader->started(); }
 
-  void abandonRequest() {
+  void abandonRequest(ClosedBy by) {
     if (!Busy)
       return;
     Busy = false;
     --Server.InFlight;
     auto request = std::move(Request);
     Request.reset();
-    if (request && request->OnClose)
-      request->OnClose();
+    if (!request || !request->OnClose)
+      return;
+    request->ClosedByServer = by == ClosedBy::Server;
+    request->OnClose();
   }
 
   void setTimer(Duration span) {
@@ -74,7 +79,7 @@
     if (inHead && !Busy && !Writing)
       reject(408, "header-timeout");
     else
-      close();
+      close(ClosedBy::Server);
   }
 
   void nextRequest() {
@@ -135,7 +140,7 @@
         Socket, asio::buffer(*text),
         [self, text](const boost::system::error_code &ec, std::size_t) {
           if (ec)
-            self->close();
+            self->close(ClosedBy::Client);
         });
   }
 
@@ -156,7 +161,7 @@
     if (Closed)
       return;
     if (ec) {
-      close();
+      close(ClosedBy::Client);
       return;
     }
     if (Lingering) {
@@ -187,7 +192,7 @@
     Request->Abort = [weakSession, weakRequest] {
       auto self = weakSession.lock();
       if (self && self->Busy && self->Request == weakRequest.lock())
-        self->close();
+        self->close(ClosedBy::Server);
     };
     readMore();
     // The handler may respond synchronously, which resets the member.
@@ -233,7 +238,8 @@
       return;
     Writing = false;
     if (ec) {
-      close();
+      incrementCounter("responses_not_sent");
+      close(ClosedBy::Client);
     } else if (closeAfter) {
       // Closing a socket with unread bytes sends a reset, which can discard
       // the response before the client has read it.
@@ -315,7 +321,7 @@
     if (it->idle())
       idle.push_back(it);
   for (const auto &it : idle)
-    it->close();
+    it->close(Session::ClosedBy::Server);
 }
 
 } // namespace savorylb
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -23,6 +23,8 @@
   std::function<void(HttpMessage)> Respond;
   /// Closes the connection without a response.
   std::function<void()> Abort;
+  /// Set before OnClose when the server closed the connection, not the client.
+  bool ClosedByServer = false;
   /// Called once if the connection closes before the response, including a
   /// close by Abort().
   std::function<void()> OnClose;
--- /dev/null
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -0,0 +1,97 @@
+#include "http_connection.h"
+#include "http_server.h"
+
+#include <chrono>
+#include <thread>
+
+// Redefines operator new; must be included after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+
+namespace {
+
+/// Port range of these tests; each test uses its own port.
+int NextPort = 8401;
+
+/// A server that responds to each request with its path.
+struct EchoServer {
+  asio::io_context Io;
+  std::string Address = "127.0.90.1:" + std::to_string(NextPort++);
+  int Forwarded = 0;
+  HttpServer Server{Io, [this](const auto &request) { answer(request); },
+                    [](int status, const char *reason) {
+                      return jsonResponse(status, reason);
+                    }};
+
+  EchoServer() { CHECK_TRUE(Server.listen(Address)); }
+
+  /// Responds after the handler has returned, as a forwarded request does.
+  void answer(const std::shared_ptr<ServedRequest> &request) {
+    ++Forwarded;
+    asio::post(Io, [request] {
+      request->Respond(jsonResponse(200, request->Message.Path));
+    });
+  }
+
+  /// Runs the loop until it has been idle for the given time.
+  void run(std::chrono::milliseconds span) {
+    Io.run_for(span);
+    Io.restart();
+  }
+};
+
+/// A blocking client, so that bytes reach the server's socket while its loop
+/// does not run.
+struct BlockingClient {
+  asio::io_context Io;
+  asio::ip::tcp::socket Socket{Io};
+
+  explicit BlockingClient(const std::string &address) {
+    Socket.connect(*parseEndpoint(address));
+  }
+
+  void sendRequest(const std::string &path) {
+    std::string text = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(Socket, asio::buffer(text));
+  }
+
+  /// \returns the bytes that have arrived; empty if the server closed the
+  ///          connection or sent nothing.
+  std::string receive() {
+    char buf[4096];
+    boost::system::error_code ec;
+    Socket.non_blocking(true);
+    std::size_t n = Socket.read_some(asio::buffer(buf), ec);
+    Socket.non_blocking(false);
+    return ec ? "" : std::string(buf, n);
+  }
+};
+
+} // namespace
+
+TEST_GROUP(HttpServer){};
+
+// Guards against a log that cannot tell a connection closed by the VM from a
+// caller that left.
+TEST(HttpServer, AbortedRequestIsNotReportedAsClosedByServer) {
+  EchoServer fixture;
+  bool closedByServer = false;
+  std::shared_ptr<ServedRequest> kept;
+  HttpServer server(
+      fixture.Io,
+      [&](const std::shared_ptr<ServedRequest> &request) {
+        kept = request;
+        request->OnClose = [&] { closedByServer = kept->ClosedByServer; };
+        asio::post(fixture.Io, [&] { kept->Abort(); });
+      },
+      [](int status, const char *reason) {
+        return jsonResponse(status, reason);
+      });
+  std::string address = "127.0.90.1:" + std::to_string(NextPort++);
+  CHECK_TRUE(server.listen(address));
+  BlockingClient client(address);
+  client.sendRequest("/");
+  fixture.run(std::chrono::milliseconds(30));
+  CHECK_TRUE(closedByServer);
+}
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -295,7 +295,8 @@
     if (it != inFlight.end())
       inFlight.erase(it);
   }
-  logCompletion(0, "caller-gone", true);
+  logCompletion(
+      0, Request->ClosedByServer ? "connection-closed" : "caller-gone", true);
 }
 
 void RequestProxy::refuse(int status, const char *reason, Duration retryAfter) {
