Keep a caller's connection open when its idle timer expired before the request

Callers saw: a request on a kept connection was passed on to a target and the connection closed without a response.

Cause: cancelling an asio timer does not stop a handler that is already queued. When the process did not run for a moment (paused, or its processor quota used up), the idle timer had expired and the next request had arrived by the time it ran again. The loop handles sockets before timers: it read and forwarded the request, cancelled the timer too late, and the queued handler closed the connection. The same handler could close a connection whose response was being written, since sending sets the timer anew.

Evidence: IdleTimeoutClosesConnectionOfForwardedRequest stops the loop until both have happened. Before: 2 requests forwarded, the second without a response (CHECK_FALSE(client.receive().empty()) failed). After: passed.

Change: each start and each cancellation of the timer has a generation, and a handler of an earlier one does nothing.

--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -41,7 +41,7 @@
     if (Closed)
       return;
     Closed = true;
-    Timer.cancel();
+    cancelTimer();
     boost::system::error_code ignored; // The socket is discarded in any case.
     Socket.close(ignored);
     auto self = shared_from_this();
@@ -67,13 +67,21 @@
 
   void setTimer(Duration span) {
     auto self = shared_from_this();
+    std::uint64_t generation = ++TimerGeneration;
     Timer.expires_after(span);
-    Timer.async_wait([self](const boost::system::error_code &ec) {
-      if (!ec)
+    Timer.async_wait([self, generation](const boost::system::error_code &ec) {
+      if (!ec && generation == self->TimerGeneration)
         self->onTimer();
     });
   }
 
+  void cancelTimer() {
+    // The handler of an expired timer may be queued already and then runs
+    // without an error.
+    ++TimerGeneration;
+    Timer.cancel();
+  }
+
   void onTimer() {
     bool inHead = readerStarted() && !Reader->headComplete();
     if (inHead && !Busy && !Writing)
@@ -176,7 +184,7 @@
   }
 
   void serve() {
-    Timer.cancel();
+    cancelTimer();
     Busy = true;
     ++Server.InFlight;
     Request = std::make_shared<ServedRequest>();
@@ -261,6 +269,8 @@
   std::optional<HttpReader> Reader;
   std::shared_ptr<ServedRequest> Request;
   MonoTime ArrivedAt{};
+  /// Incremented when the timer is set or cancelled.
+  std::uint64_t TimerGeneration = 0;
   bool Busy = false;
   bool Reading = false;
   bool Writing = false;
--- a/src/libsavoryhttp/http_server_test.cpp
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -95,3 +95,21 @@
   fixture.run(std::chrono::milliseconds(30));
   CHECK_TRUE(closedByServer);
 }
+
+// Guards against closing a kept connection whose request has been forwarded,
+// when the idle timer expired while the process did not run.
+TEST(HttpServer, IdleTimeoutClosesConnectionOfForwardedRequest) {
+  EchoServer fixture;
+  SessionLimits limits;
+  limits.IdleTimeout = Millis(60);
+  fixture.Server.setLimits(limits);
+  BlockingClient client(fixture.Address);
+  client.sendRequest("/first");
+  fixture.run(std::chrono::milliseconds(30));
+  CHECK_FALSE(client.receive().empty());
+  client.sendRequest("/second");
+  std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  fixture.run(std::chrono::milliseconds(30));
+  LONGS_EQUAL(2, fixture.Forwarded);
+  CHECK_FALSE(client.receive().empty());
+}
