Report the outcome of an exchange whose connect timer expired late

Callers saw 504 at their deadline although the target had answered; a store watch or a call to another VM would never end, and the VM would no longer follow the store.

The handler of the connect timer may be queued when the connection is established in the same turn of the loop. It then closed the connection on which a request had just been sent, without reporting an outcome.

Evidence: ConnectTimeoutClosesEstablishedConnectionSilently stops the loop until both are ready. Before: 0 outcomes (LONGS_EQUAL(1, ended) failed, but was 0). After: passed.

Change: the handler closes the connection only while it is not established. The other timers (deadline of a request, watches, registration) check their state when they run; none of them acts on a late handler.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -54,7 +54,9 @@
   MonoTime startedAt = monoNow();
   Timer.expires_after(timeout);
   Timer.async_wait([self](const boost::system::error_code &ec) {
-    if (!ec)
+    // The handler may have been queued before the connection was established
+    // and the timer cancelled.
+    if (!ec && !self->Open)
       self->close();
   });
   Socket.async_connect(
--- a/src/libsavoryhttp/http_server_test.cpp
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -113,3 +113,30 @@
   LONGS_EQUAL(2, fixture.Forwarded);
   CHECK_FALSE(client.receive().empty());
 }
+
+TEST_GROUP(HttpConnection){};
+
+// Guards against an exchange without an outcome, when the connection was
+// established and its time limit expired while the process did not run.
+TEST(HttpConnection, ConnectTimeoutClosesEstablishedConnectionSilently) {
+  EchoServer fixture;
+  auto connection =
+      std::make_shared<HttpConnection>(fixture.Io.get_executor(), 1 << 20);
+  int ended = 0;
+  connection->connect(fixture.Address, Millis(40), [&](bool connected) {
+    if (!connected) {
+      ++ended;
+      return;
+    }
+    Exchange exchange;
+    exchange.Head =
+        std::make_shared<std::string>("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    exchange.Body = std::make_shared<std::string>();
+    exchange.Timeout = Millis(200);
+    exchange.Done = [&](ExchangeOutcome, HttpMessage &) { ++ended; };
+    connection->start(std::move(exchange));
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  fixture.run(std::chrono::milliseconds(300));
+  LONGS_EQUAL(1, ended);
+}
