Wait for responses being written before the process ends

Callers saw: after a stop signal, a response cut midway, or none if none of its bytes had been sent.

Cause: the shutdown waited for requests that await a response. A response that was handed to the socket's writer no longer counted, so the process could end while a slow caller or a full link still held it back, and it ended at once instead of leaving the caller time to read the last bytes.

Evidence: StopWaitsForResponsesBeingWritten sends a response of 24 MB to a caller that reads slowly.

Change: the process ends when no caller's connection is open, or at the end of the grace period as before.

--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -65,6 +65,8 @@
 
   /// \returns the number of requests that await their response.
   int inFlight() const { return InFlight; }
+  /// \returns the number of open connections, including those whose last
+  ///          response is being written.
   std::size_t connections() const { return Sessions.size(); }
 
 private:
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -342,7 +342,8 @@
     return;
   Callers.closeIdle();
   bool graceExpired = since > Duration(Settings.StopGrace) - ShutdownReserve;
-  if (Callers.inFlight() > 0 && !graceExpired)
+  // Connections on which a response is being written count as well.
+  if (Callers.connections() > 0 && !graceExpired)
     return;
   logEvent(EventCode::DaemonStopped,
            {{"drain_ms", since.count() / 1000},
--- a/src/savoryvm/vm_daemon_test.cpp
+++ b/src/savoryvm/vm_daemon_test.cpp
@@ -3,6 +3,7 @@
 
 #include "savorylb/clock.h"
 
+#include <csignal>
 #include <functional>
 
 // Redefines operator new; must be included after the standard headers.
@@ -310,3 +311,34 @@
   CHECK_FALSE(fixture.ready(2));
   LONGS_EQUAL(503, fixture.call(2, CallerRequest()).Status);
 }
+
+// Guards against a process that ends while a response is still being written.
+TEST(VmDaemon, StopWaitsForResponsesBeingWritten) {
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a").PaddingBytes = 24 << 20;
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  asio::ip::tcp::socket socket(fixture.Io);
+  socket.connect(*parseEndpoint(fixture.Platform.callerAddress(2)));
+  std::string text = "GET /tiles/1 HTTP/1.1\r\nHost: maps.example\r\n"
+                     "Savorylb-Attempt-Id: a-1\r\n"
+                     "Authorization: Token key-1\r\n\r\n";
+  asio::write(socket, asio::buffer(text));
+  CHECK_TRUE(
+      fixture.waitUntil([&] { return fixture.Platform.runCount("a-1") == 1; }));
+  std::raise(SIGTERM);
+  fixture.Io.run_for(std::chrono::milliseconds(3300));
+  CHECK_FALSE(fixture.Io.stopped());
+  std::size_t received = 0;
+  std::vector<char> buf(1 << 20);
+  boost::system::error_code ec;
+  socket.non_blocking(true);
+  while (!fixture.Io.stopped() && (!ec || ec == asio::error::would_block)) {
+    fixture.Io.run_for(std::chrono::milliseconds(5));
+    received += socket.read_some(asio::buffer(buf), ec);
+  }
+  CHECK_TRUE(received > (24 << 20));
+  // The process ends soon after the response has been written.
+  fixture.Io.run_for(std::chrono::milliseconds(1000));
+  CHECK_TRUE(fixture.Io.stopped());
+}
--- a/src/standins/platform/platform_target.cpp
+++ b/src/standins/platform/platform_target.cpp
@@ -91,7 +91,7 @@
       {"Savorylb-Server-Load", std::to_string(Running) + ",0,4"}};
   if (Mode != TargetMode::Unsigned)
     response.Fields.emplace_back("Savorylb-Server-Signature", Id);
-  response.Body = "answer to " + attempt;
+  response.Body = "answer to " + attempt + std::string(PaddingBytes, '.');
   request->Respond(std::move(response));
 }
 
--- a/src/standins/platform/platform_target.h
+++ b/src/standins/platform/platform_target.h
@@ -41,6 +41,8 @@
 
   TargetMode Mode = TargetMode::Serve;
   Duration ServiceTime = Millis(5);
+  /// Bytes appended to the body of each response.
+  std::size_t PaddingBytes = 0;
   /// Number of runs of each attempt on this target.
   std::map<std::string, int> Runs;
   /// Number of attempts whose connection closed while they ran.
