Release the requests of callers that left

The process grew by the body of each request whose caller disconnected before the response, until it was killed at its memory limit; all requests on its connections were lost with it.

Cause: the handler of a disconnect owns the proxy of the request, and the proxy owns the request with the handler. A response breaks the cycle, a disconnect did not.

Evidence: RequestOfDisconnectedCallerIsNeverReleased. Before: the request was still referenced (CHECK_TRUE(seen.expired()) failed). After: passed.

Change: the server moves the handler out of the request before calling it.

--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -62,7 +62,11 @@
     if (!request || !request->OnClose)
       return;
     request->ClosedByServer = by == ClosedBy::Server;
-    request->OnClose();
+    // The handler's owner usually owns the request as well; both are released
+    // with the local copy.
+    auto onClose = std::move(request->OnClose);
+    request->OnClose = nullptr;
+    onClose();
   }
 
   void setTimer(Duration span) {
--- a/src/libsavoryhttp/http_server_test.cpp
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -14,15 +14,19 @@
 /// Port range of these tests; each test uses its own port.
 int NextPort = 8401;
 
+std::string nextAddress() { return "127.0.90.1:" + std::to_string(NextPort++); }
+
+HttpMessage rejection(int status, const char *reason) {
+  return jsonResponse(status, reason);
+}
+
 /// A server that responds to each request with its path.
 struct EchoServer {
   asio::io_context Io;
-  std::string Address = "127.0.90.1:" + std::to_string(NextPort++);
+  std::string Address = nextAddress();
   int Forwarded = 0;
   HttpServer Server{Io, [this](const auto &request) { answer(request); },
-                    [](int status, const char *reason) {
-                      return jsonResponse(status, reason);
-                    }};
+                    rejection};
 
   EchoServer() { CHECK_TRUE(Server.listen(Address)); }
 
@@ -35,7 +39,7 @@
   }
 
   /// Runs the loop until it has been idle for the given time.
-  void run(std::chrono::milliseconds span) {
+  void run(Millis span) {
     Io.run_for(span);
     Io.restart();
   }
@@ -74,7 +78,7 @@
 
 // Guards against a log that cannot tell a connection closed by the VM from a
 // caller that left.
-TEST(HttpServer, AbortedRequestIsNotReportedAsClosedByServer) {
+TEST(HttpServer, AbortedRequestIsReportedAsClosedByClient) {
   EchoServer fixture;
   bool closedByServer = false;
   std::shared_ptr<ServedRequest> kept;
@@ -85,14 +89,12 @@
         request->OnClose = [&] { closedByServer = kept->ClosedByServer; };
         asio::post(fixture.Io, [&] { kept->Abort(); });
       },
-      [](int status, const char *reason) {
-        return jsonResponse(status, reason);
-      });
-  std::string address = "127.0.90.1:" + std::to_string(NextPort++);
+      rejection);
+  std::string address = nextAddress();
   CHECK_TRUE(server.listen(address));
   BlockingClient client(address);
   client.sendRequest("/");
-  fixture.run(std::chrono::milliseconds(30));
+  fixture.run(Millis(30));
   CHECK_TRUE(closedByServer);
 }
 
@@ -105,11 +107,11 @@
   fixture.Server.setLimits(limits);
   BlockingClient client(fixture.Address);
   client.sendRequest("/first");
-  fixture.run(std::chrono::milliseconds(30));
+  fixture.run(Millis(30));
   CHECK_FALSE(client.receive().empty());
   client.sendRequest("/second");
   std::this_thread::sleep_for(std::chrono::milliseconds(80));
-  fixture.run(std::chrono::milliseconds(30));
+  fixture.run(Millis(30));
   LONGS_EQUAL(2, fixture.Forwarded);
   CHECK_FALSE(client.receive().empty());
 }
@@ -137,6 +139,34 @@
     connection->start(std::move(exchange));
   });
   std::this_thread::sleep_for(std::chrono::milliseconds(60));
-  fixture.run(std::chrono::milliseconds(300));
+  fixture.run(Millis(300));
   LONGS_EQUAL(1, ended);
 }
+
+// Guards against keeping the request and the body of a caller that left.
+TEST(HttpServer, RequestOfDisconnectedCallerIsNeverReleased) {
+  EchoServer fixture;
+  std::weak_ptr<ServedRequest> seen;
+  bool closedByServer = true;
+  HttpServer server(
+      fixture.Io,
+      [&](const std::shared_ptr<ServedRequest> &request) {
+        seen = request;
+        request->OnClose = [&closedByServer, request] {
+          closedByServer = request->ClosedByServer;
+        };
+      },
+      rejection);
+  std::string address = nextAddress();
+  CHECK_TRUE(server.listen(address));
+  {
+    BlockingClient client(address);
+    client.sendRequest("/");
+    fixture.run(Millis(30));
+    CHECK_FALSE(seen.expired());
+  }
+  fixture.run(Millis(30));
+  LONGS_EQUAL(0, server.connections());
+  CHECK_FALSE(closedByServer);
+  CHECK_TRUE(seen.expired());
+}
