Apply new limits to the next request of a kept connection

Callers saw 413 or 431, which they do not retry, for a request that the configuration in force allows, and connections closed before the idle timeout in force, when a configuration had raised a limit while the connection was idle.

Cause: the limits were read, and the idle timer set, when the previous response had been written.

Change: the reader takes the limits with the first bytes of a request, and an idle timer that expires before the timeout in force is set again. A connection on which a response is being written no longer counts as idle by the state of its reader, but explicitly.

--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -35,7 +35,10 @@
     nextRequest();
   }
 
-  bool idle() const { return !Busy && Buffer.empty() && !readerStarted(); }
+  bool idle() const {
+    return !Busy && !Writing && !Lingering && Buffer.empty() &&
+           !readerStarted();
+  }
 
   void close(ClosedBy by) {
     if (Closed)
@@ -87,6 +90,12 @@
   }
 
   void onTimer() {
+    Duration idleFor = monoNow() - ArrivedAt;
+    if (idle() && idleFor < Server.Limits.IdleTimeout) {
+      // The timeout was raised after the timer had been set.
+      setTimer(Server.Limits.IdleTimeout - idleFor);
+      return;
+    }
     bool inHead = readerStarted() && !Reader->headComplete();
     if (inHead && !Busy && !Writing)
       reject(408, "header-timeout");
@@ -95,8 +104,7 @@
   }
 
   void nextRequest() {
-    Reader.emplace(HttpReader::Kind::Request, Server.Limits.MaxHeaderBytes,
-                   Server.Limits.MaxBodyBytes);
+    Reader.reset();
     ContinueSent = false;
     ArrivedAt = monoNow();
     setTimer(Server.Limits.IdleTimeout);
@@ -105,6 +113,9 @@
 
   void parse() {
     bool first = !readerStarted();
+    if (first)
+      Reader.emplace(HttpReader::Kind::Request, Server.Limits.MaxHeaderBytes,
+                     Server.Limits.MaxBodyBytes);
     ReadState state = Reader->read(Buffer);
     if (first && readerStarted()) {
       ArrivedAt = monoNow();
@@ -272,6 +283,8 @@
   std::string ReadBuffer;
   std::optional<HttpReader> Reader;
   std::shared_ptr<ServedRequest> Request;
+  /// Time of the first byte of the current request; while the connection is
+  /// idle, the time since when it is.
   MonoTime ArrivedAt{};
   /// Incremented when the timer is set or cancelled.
   std::uint64_t TimerGeneration = 0;
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -53,8 +53,8 @@
   /// \returns false if the address is invalid or cannot be bound.
   bool listen(const std::string &address);
 
-  /// Sets the limits. Size limits apply from the next request of each
-  /// connection, timeouts from the next start of a timer.
+  /// Sets the limits. They apply from the next request of each connection; a
+  /// longer idle timeout applies to idle connections as well.
   void setLimits(const SessionLimits &limits) { Limits = limits; }
 
   /// From now on each response closes its connection.
--- a/src/libsavoryhttp/http_server_test.cpp
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -170,3 +170,42 @@
   CHECK_FALSE(closedByServer);
   CHECK_TRUE(seen.expired());
 }
+
+// Guards against 413 or 431 for a request that a new configuration allows.
+TEST(HttpServer, KeptConnectionHasTheSizeLimitsOfItsPreviousRequest) {
+  EchoServer fixture;
+  SessionLimits limits;
+  limits.MaxBodyBytes = 10;
+  fixture.Server.setLimits(limits);
+  BlockingClient client(fixture.Address);
+  client.sendRequest("/first");
+  fixture.run(Millis(30));
+  CHECK_FALSE(client.receive().empty());
+  limits.MaxBodyBytes = 1000;
+  fixture.Server.setLimits(limits);
+  std::string upload = "POST /second HTTP/1.1\r\nHost: a\r\n"
+                       "Content-Length: 100\r\n\r\n" +
+                       std::string(100, 'b');
+  asio::write(client.Socket, asio::buffer(upload));
+  fixture.run(Millis(30));
+  LONGS_EQUAL(2, fixture.Forwarded);
+}
+
+// Guards against closing an idle connection before the idle timeout that is in
+// force.
+TEST(HttpServer, IdleConnectionHasTheTimeoutOfItsPreviousRequest) {
+  EchoServer fixture;
+  SessionLimits limits;
+  limits.IdleTimeout = Millis(60);
+  fixture.Server.setLimits(limits);
+  BlockingClient client(fixture.Address);
+  client.sendRequest("/first");
+  fixture.run(Millis(20));
+  CHECK_FALSE(client.receive().empty());
+  limits.IdleTimeout = Millis(300);
+  fixture.Server.setLimits(limits);
+  fixture.run(Millis(150));
+  LONGS_EQUAL(1, fixture.Server.connections());
+  fixture.run(Millis(300));
+  LONGS_EQUAL(0, fixture.Server.connections());
+}
