Reject a late request header once

A client whose header did not arrive in time was rejected with 408, and 500 ms later the timer that bounds the linger of the connection rejected it again on the socket that was already shut down. The failed write was counted in responses_not_sent, which made the metric useless for lost responses.

HeaderTimeoutIsRejectedTwice: 2 rejections before, 1 after.

--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -12,8 +12,6 @@
 constexpr std::size_t ReadBufferBytes = 16'384;
 /// Buffered bytes of pipelined requests at which reading pauses.
 constexpr std::size_t MaxPipelinedBytes = 65'536;
-/// The connection closes if a response cannot be written within this time.
-constexpr Duration WriteTimeout = Seconds(10);
 /// Time for a client to read the last response before the socket closes.
 constexpr Duration LingerTime = Millis(500);
 /// Delay after a failed accept call, until file descriptors become available.
@@ -97,7 +95,7 @@
       return;
     }
     bool inHead = readerStarted() && !Reader->headComplete();
-    if (inHead && !Busy && !Writing)
+    if (inHead && !Busy && !Writing && !Lingering)
       reject(408, "header-timeout");
     else
       close(ClosedBy::Server);
@@ -247,7 +245,7 @@
         headRequest ? std::string() : std::move(response.Body));
     std::array<asio::const_buffer, 2> parts = {asio::buffer(*head),
                                                asio::buffer(*body)};
-    setTimer(WriteTimeout);
+    setTimer(Server.Limits.WriteTimeout);
     auto self = shared_from_this();
     asio::async_write(Socket, parts,
                       [self, head, body, closeAfter](
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -38,6 +38,8 @@
   Duration HeaderTimeout = Seconds(3);
   /// Between requests, and between reads of a body.
   Duration IdleTimeout = Seconds(15);
+  /// Between writes of a response.
+  Duration WriteTimeout = Seconds(10);
 };
 
 /// An HTTP/1.1 server on one address.
--- a/src/libsavoryhttp/http_server_test.cpp
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -1,6 +1,8 @@
 #include "http_connection.h"
 #include "http_server.h"
 
+#include "savorylb/metrics.h"
+
 #include <chrono>
 #include <thread>
 
@@ -209,3 +211,25 @@
   fixture.run(Millis(300));
   LONGS_EQUAL(0, fixture.Server.connections());
 }
+
+// Guards against a second rejection on a connection that is already shut down.
+TEST(HttpServer, HeaderTimeoutIsRejectedTwice) {
+  EchoServer fixture;
+  int rejections = 0;
+  HttpServer server(
+      fixture.Io, [](const std::shared_ptr<ServedRequest> &) {},
+      [&](int status, const char *reason) {
+        ++rejections;
+        return rejection(status, reason);
+      });
+  SessionLimits limits;
+  limits.HeaderTimeout = Millis(50);
+  server.setLimits(limits);
+  std::string address = nextAddress();
+  CHECK_TRUE(server.listen(address));
+  BlockingClient client(address);
+  asio::write(client.Socket, asio::buffer(std::string("GET / HT")));
+  fixture.run(Millis(900));
+  LONGS_EQUAL(1, rejections);
+  LONGS_EQUAL(0, server.connections());
+}
