Serve a pipelined request that was read before the drain

During a stop each response closes its connection. A further request that had been read behind the one that was being served was dropped with it: a process had read a whole request and its connection ended without a response.

DrainDropsPipelinedRequest: 1 of 2 requests served before, both after. The connection closes after the last request that has been read.

--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -226,7 +226,9 @@
     Request.reset();
     Busy = false;
     --Server.InFlight;
-    bool closeAfter = Server.Draining || !request->Message.KeepAlive;
+    // A request that has been read already is still served.
+    bool lastRequest = Server.Draining && Buffer.empty();
+    bool closeAfter = lastRequest || !request->Message.KeepAlive;
     send(std::move(response), closeAfter, request->Message.Method == "HEAD");
   }
 
--- a/src/libsavoryhttp/http_server_test.cpp
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -233,3 +233,32 @@
   LONGS_EQUAL(1, rejections);
   LONGS_EQUAL(0, server.connections());
 }
+
+// Guards against dropping a request that was read before the response that
+// closes its connection.
+TEST(HttpServer, DrainDropsPipelinedRequest) {
+  EchoServer fixture;
+  std::shared_ptr<ServedRequest> last;
+  int served = 0;
+  HttpServer server(
+      fixture.Io,
+      [&](const std::shared_ptr<ServedRequest> &request) {
+        ++served;
+        last = request;
+      },
+      rejection);
+  std::string address = nextAddress();
+  CHECK_TRUE(server.listen(address));
+  BlockingClient client(address);
+  client.sendRequest("/1");
+  client.sendRequest("/2");
+  fixture.run(Millis(50));
+  server.startDrain();
+  last->Respond(jsonResponse(200, "first"));
+  fixture.run(Millis(50));
+  LONGS_EQUAL(2, served);
+  last->Respond(jsonResponse(200, "second"));
+  fixture.run(Millis(700));
+  CHECK_TRUE(client.receive().find("second") != std::string::npos);
+  LONGS_EQUAL(0, server.connections());
+}
