Bound the pause between writes of a response, not its whole transfer

A response that a slow client or a full link had not taken within 10 s was cut, although the client was reading it. A response that was cut so, or by a client that closed its end, was not counted in responses_not_sent either: close() ran first, and the handler of the write returned early.

WriteTimeoutCutsResponseThatMakesProgress and WriteTimeoutIsNotCounted failed before (CHECK_TRUE(received > size), CHECK_TRUE(before != renderMetrics())) and pass now. The timer starts again with each partial write, and the count is taken where the connection closes.

--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -42,6 +42,8 @@
     if (Closed)
       return;
     Closed = true;
+    if (Writing)
+      incrementCounter("responses_not_sent");
     cancelTimer();
     boost::system::error_code ignored; // The socket is discarded in any case.
     Socket.close(ignored);
@@ -247,9 +249,15 @@
         headRequest ? std::string() : std::move(response.Body));
     std::array<asio::const_buffer, 2> parts = {asio::buffer(*head),
                                                asio::buffer(*body)};
-    setTimer(Server.Limits.WriteTimeout);
     auto self = shared_from_this();
-    asio::async_write(Socket, parts,
+    // Called before each partial write.
+    auto restartTimer = [self](const boost::system::error_code &ec,
+                               std::size_t n) {
+      if (!ec && !self->Closed)
+        self->setTimer(self->Server.Limits.WriteTimeout);
+      return asio::transfer_all()(ec, n);
+    };
+    asio::async_write(Socket, parts, restartTimer,
                       [self, head, body, closeAfter](
                           const boost::system::error_code &ec, std::size_t) {
                         self->onSent(ec, closeAfter);
@@ -259,11 +267,12 @@
   void onSent(const boost::system::error_code &ec, bool closeAfter) {
     if (Closed)
       return;
-    Writing = false;
     if (ec) {
-      incrementCounter("responses_not_sent");
       close(ClosedBy::Client);
-    } else if (closeAfter) {
+      return;
+    }
+    Writing = false;
+    if (closeAfter) {
       // Closing a socket with unread bytes sends a reset, which can discard
       // the response before the client has read it.
       Lingering = true;
--- a/src/libsavoryhttp/http_server_test.cpp
+++ b/src/libsavoryhttp/http_server_test.cpp
@@ -262,3 +262,54 @@
   CHECK_TRUE(client.receive().find("second") != std::string::npos);
   LONGS_EQUAL(0, server.connections());
 }
+
+// Guards against cutting a response that its client reads slowly.
+TEST(HttpServer, WriteTimeoutCutsResponseThatMakesProgress) {
+  EchoServer fixture;
+  std::size_t size = 24 << 20;
+  HttpServer server(
+      fixture.Io,
+      [&](const std::shared_ptr<ServedRequest> &request) {
+        request->Respond(jsonResponse(200, std::string(size, '.')));
+      },
+      rejection);
+  SessionLimits limits;
+  limits.WriteTimeout = Millis(200);
+  server.setLimits(limits);
+  std::string address = nextAddress();
+  CHECK_TRUE(server.listen(address));
+  BlockingClient client(address);
+  client.sendRequest("/");
+  std::vector<char> buf(1 << 20);
+  std::size_t received = 0;
+  boost::system::error_code ec;
+  client.Socket.non_blocking(true);
+  for (int i = 0; i < 60 && received <= size; ++i) {
+    fixture.run(Millis(20));
+    received += client.Socket.read_some(asio::buffer(buf), ec);
+  }
+  CHECK_TRUE(received > size);
+}
+
+// Guards against a response that could not be written and is not counted.
+TEST(HttpServer, WriteTimeoutIsNotCounted) {
+  EchoServer fixture;
+  HttpServer server(
+      fixture.Io,
+      [](const std::shared_ptr<ServedRequest> &request) {
+        request->Respond(jsonResponse(200, std::string(24 << 20, '.')));
+      },
+      rejection);
+  SessionLimits limits;
+  limits.WriteTimeout = Millis(100);
+  server.setLimits(limits);
+  std::string address = nextAddress();
+  CHECK_TRUE(server.listen(address));
+  std::string before = renderMetrics();
+  BlockingClient client(address);
+  client.sendRequest("/");
+  fixture.run(Millis(400));
+  LONGS_EQUAL(0, server.connections());
+  CHECK_TRUE(before != renderMetrics());
+  CHECK_TRUE(renderMetrics().find("responses_not_sent") != std::string::npos);
+}
