Do not access a channel that was destroyed while it connected

A fetch of documents from another VM may replace its channel while the previous one still connects. The connect handler then compared a member of the destroyed channel: undefined behaviour, which ends the process if the memory was returned to the system, and with it all requests on its connections.

Evidence: ConnectUsesDestroyedChannel under valgrind: invalid read in http_channel.cpp:23 before, none in http_channel or http_connection after.

Change: the handler checks that the channel still exists.

--- a/src/savoryvm/http_channel.cpp
+++ b/src/savoryvm/http_channel.cpp
@@ -17,11 +17,12 @@
   }
   Connection = std::make_shared<HttpConnection>(Io, MaxResponseBytes);
   auto connection = Connection;
+  std::weak_ptr<void> lifetime = Lifetime;
   connection->connect(
       Address, std::min(timeout, Duration(ConnectTimeout)),
-      [this, connection, request, timeout, done](bool connected) {
-        if (connection != Connection)
-          return; // Closed or replaced in the meantime.
+      [this, lifetime, connection, request, timeout, done](bool connected) {
+        if (lifetime.expired() || connection != Connection)
+          return; // Destroyed, closed or replaced in the meantime.
         if (!connected)
           done(failure(ErrorCode::Unavailable, "no connection"));
         else
--- a/src/savoryvm/http_channel.h
+++ b/src/savoryvm/http_channel.h
@@ -36,6 +36,8 @@
   asio::any_io_executor Io;
   std::string Address;
   std::shared_ptr<HttpConnection> Connection;
+  /// Expires with the channel; a connect that is in progress may outlive it.
+  std::shared_ptr<void> Lifetime = std::make_shared<char>();
 };
 
 } // namespace savorylb
