--- a/src/standins/platform/simulated_platform.cpp
+++ b/src/standins/platform/simulated_platform.cpp
@@ -17,13 +17,17 @@
          std::to_string(port);
 }
 
+std::string milliseconds(Millis span) {
+  return std::to_string(span.count()) + "ms";
+}
+
 Json::Value route(const std::string &prefix, const std::string &kind,
-                  const std::string &service) {
+                  const std::string &service, Millis timeout) {
   Json::Value value;
   value["host"] = "maps.example";
   value["prefix"] = prefix;
   value["kind"] = kind;
-  value["timeout"] = "2000ms";
+  value["timeout"] = milliseconds(timeout);
   value["targetLatency"] = "250ms";
   value["priority"] = 1;
   value["service"] = service;
@@ -54,11 +58,13 @@
   return *Targets.back();
 }
 
-void SimulatedPlatform::configure(const std::vector<std::string> &keys) {
+void SimulatedPlatform::configure(const std::vector<std::string> &keys,
+                                  const ConfigTimeouts &timeouts) {
   Json::Value config;
   config["version"] = Version += 3;
-  config["routes"]["r-1"] = route("/tiles/", "safe", "tiles");
-  config["routes"]["r-2"] = route("/permits/", "unsafe", "permits");
+  config["routes"]["r-1"] = route("/tiles/", "safe", "tiles", timeouts.Route);
+  config["routes"]["r-2"] =
+      route("/permits/", "unsafe", "permits", timeouts.Route);
   for (const char *it : {"tiles", "permits"}) {
     config["services"][it]["maxConnections"] = 300;
     config["services"][it]["warmup"] = "3s";
@@ -67,7 +73,7 @@
   config["limits"]["maxHeaderBytes"] = 16384;
   config["limits"]["maxBodyBytes"] = 1048576;
   config["limits"]["headerTimeout"] = "3000ms";
-  config["limits"]["idleTimeout"] = "15000ms";
+  config["limits"]["idleTimeout"] = milliseconds(timeouts.Idle);
   Json::Value &team = config["tenants"]["port"];
   team["priority"] = 1;
   team["requestsPerS"] = 0;
--- a/src/standins/platform/simulated_platform.h
+++ b/src/standins/platform/simulated_platform.h
@@ -11,6 +11,14 @@
 
 namespace savorylb::standin {
 
+/// Timeouts of a configuration.
+struct ConfigTimeouts {
+  /// Longest idle time of callers' connections.
+  Millis Idle{15000};
+  /// Time limit of all routes.
+  Millis Route{2000};
+};
+
 /// Simulates the platform: a store and targets on loopback addresses, and the
 /// operator's configuration.
 struct SimulatedPlatform {
@@ -27,7 +35,8 @@
 
   /// Writes the next version of the configuration.
   /// \param keys keys of the team `port`.
-  void configure(const std::vector<std::string> &keys);
+  void configure(const std::vector<std::string> &keys,
+                 const ConfigTimeouts &timeouts = ConfigTimeouts());
 
   /// \returns the settings of a VM in savorylb's own format.
   std::string vmSettings(int n, const std::string &zone) const;
