Soak kept connections, changing timeouts and overlapping faults

The soak never lost a request on a kept connection, since each of its requests opened a new one and no idle timeout expired.

- Three of five requests use a kept connection.
Some wait for 60 to 100% of four fifths of the idle timeout, some until the VM's timer expires.
- Configurations change the idle timeout (300 ms to 1 s, or 15 s) and the routes' timeout, alone, in series and beside SIGHUP, whose settings file now differs.
Faults also come in pairs: two VMs, SIGTERM during SIGSTOP, a restart during a store outage.
- A request that a sound target ran must be answered unless its process was killed or paused from 3 s before it until its end; after SIGTERM while more than a sixth of the grace period is left, also not with a 502 of the VM's own.
A connection must stay open for four fifths of its idle timeout.
A process must end within its grace period after SIGTERM and never without a signal.
The earlier checks are unchanged, except that recovery no longer counts requests with withdrawn keys and those sent at the idle timeout.
- soak_run.cpp is divided into the fleet, the faults, the callers and the judgement of losses, which has its own test.

--- /dev/null
+++ b/src/savorysoak/fault_injector.h
@@ -0,0 +1,52 @@
+#ifndef SAVORYLB_FAULT_INJECTOR_H
+#define SAVORYLB_FAULT_INJECTOR_H
+
+#include "soak_fleet.h"
+
+#include <random>
+
+namespace savorylb::soak {
+
+/// Injects faults in an order derived from the seed.
+class FaultInjector {
+public:
+  explicit FaultInjector(SoakFleet &fleet);
+
+  void start() { injectNext(); }
+  /// Ends the injection and all faults.
+  void stop();
+
+private:
+  void injectNext();
+  void injectOne();
+  void injectSeveral();
+  void injectProcessFault(SoakVm &vm, int variant);
+  void injectStoreFault(int variant);
+  void injectTargetFault(int variant);
+  void injectLinkFault(int variant);
+  void terminateWhilePaused();
+  void hangupDuringConfigChange();
+  void restartDuringStoreOutage();
+  void changeConfigInSeries();
+  void changeTimeouts();
+  void hangup(SoakVm &vm);
+  void withdrawKey();
+  void writeConfig(const std::vector<std::string> &keys);
+  /// Runs a function after a time unless the injection has ended by then.
+  void later(Duration span, const std::function<void()> &what);
+  SoakVm &randomVm() { return Fleet.Vms[randomBelow(Fleet.Vms.size())]; }
+  std::size_t randomBelow(std::size_t n) { return Random() % n; }
+  Duration randomSpan(int fromMs, int toMs);
+
+  SoakFleet &Fleet;
+  std::mt19937_64 Random;
+  standin::ConfigTimeouts Timeouts;
+  std::vector<std::string> Keys{"key-1"};
+  int LastKeyNumber = 1;
+  int SettingsChanges = 0;
+  bool Stopped = false;
+};
+
+} // namespace savorylb::soak
+
+#endif // SAVORYLB_FAULT_INJECTOR_H
--- a/src/savorysoak/main.cpp
+++ b/src/savorysoak/main.cpp
@@ -13,6 +13,8 @@
   app.add_option("--seeds", seeds, "number of seeds, one after the other");
   app.add_option("--seconds", options.Seconds, "duration of fault injection");
   app.add_option("--vms", options.Vms, "number of daemons");
+  app.add_option("--targets", options.Targets, "targets of each service");
+  app.add_option("--rate", options.Rate, "requests a second over all daemons");
   app.add_option("--program", options.Program, "path of the daemon")
       ->required();
   app.add_option("--folder", options.Folder, "folder for settings and logs");
@@ -23,10 +25,13 @@
   for (int i = 0; i < seeds; ++i, ++options.Seed) {
     options.Folder = folder + "/seed-" + std::to_string(options.Seed);
     std::filesystem::create_directories(options.Folder);
-    savorylb::soak::SoakReport report = savorylb::soak::SoakRun(options).run();
+    savorylb::soak::SoakReport report = savorylb::soak::runSoak(options);
     std::cout << "seed " << options.Seed << ": " << report.Sent << " sent, "
               << report.Served << " served, " << report.Refused << " refused, "
-              << report.Unknown << " unknown, " << report.Faults << " faults, "
+              << report.Unknown << " unknown, " << report.Kept
+              << " on kept connections, " << report.AtIdleTimeout
+              << " at the idle timeout, " << report.Excused
+              << " lost beside disruptions, " << report.Faults << " faults, "
               << report.Violations.size() << " violations\n";
     for (const std::string &it : report.Violations)
       std::cout << "  " << it << "\n";
