Slow targets down as a fault of the soak

Requests of 20 ms are rarely open when a process shuts down or reloads. A target fault now also sets a service time of 100 ms to 1 s; the target counts as sound.

--- a/src/savorysoak/fault_injector.cpp
+++ b/src/savorysoak/fault_injector.cpp
@@ -64,7 +64,7 @@
   else if (kind < 5)
     injectStoreFault(variant);
   else if (kind < 7)
-    injectTargetFault(variant);
+    injectTargetFault(static_cast<int>(randomBelow(5)));
   else if (kind < 8)
     injectLinkFault(variant);
   else if (kind < 9)
@@ -96,7 +96,7 @@
     changeConfigInSeries();
     break;
   default:
-    injectTargetFault(static_cast<int>(randomBelow(4)));
+    injectTargetFault(static_cast<int>(randomBelow(5)));
     injectProcessFault(randomVm(), static_cast<int>(randomBelow(4)));
     changeTimeouts();
     break;
@@ -196,12 +196,17 @@
     target.removeEntry();
   else if (variant == 1)
     target.registerEntry("draining");
+  else if (variant == 2)
+    target.ServiceTime = randomSpan(100, 1000);
   else
     setTargetMode(Fleet, index, modes[randomBelow(std::size(modes))]);
-  logLine(Fleet, "target fault at i-" + std::to_string(index));
+  logLine(Fleet, "target fault " + std::to_string(variant) + " at i-" +
+                     std::to_string(index));
   runAfter(Fleet, randomSpan(300, 2300), [this, index] {
+    standin::PlatformTarget &target = *Fleet.Platform.Targets[index];
     setTargetMode(Fleet, index, TargetMode::Serve);
-    Fleet.Platform.Targets[index]->registerEntry();
+    target.ServiceTime = NormalServiceTime;
+    target.registerEntry();
   });
 }
 
--- a/src/savorysoak/soak_fleet.cpp
+++ b/src/savorysoak/soak_fleet.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr int ProxyPort = 8650;
-constexpr Duration ServiceTime = Millis(20);
 /// Interval of the check whether a terminated process has ended, and the
 /// tolerance of its grace period.
 constexpr Duration ExitCheckInterval = Millis(50);
@@ -87,7 +86,7 @@
   for (int i = 0; i < options.Targets; ++i)
     for (const char *service : {"tiles", "permits"})
       fleet.Platform.addTarget(service, i % 2 ? "tema-a" : "tema-b")
-          .ServiceTime = ServiceTime;
+          .ServiceTime = NormalServiceTime;
   fleet.Vms.resize(options.Vms);
   for (int i = 0; i < options.Vms; ++i) {
     SoakVm &vm = fleet.Vms[i];
--- a/src/savorysoak/soak_fleet.h
+++ b/src/savorysoak/soak_fleet.h
@@ -107,6 +107,8 @@
 bool ranAtSoundTarget(const SoakFleet &fleet, const std::string &attempt,
                       MonoTime from, MonoTime to);
 
+/// Service time of targets that are not slowed down.
+constexpr Duration NormalServiceTime = Millis(20);
 /// Default of the daemon's setting `stop_grace`.
 constexpr Duration GracePeriod = Seconds(6);
 
