Soak: choose faults in the same order with every compiler

Each fault now chooses its own variant. A request on a new connection to an undisturbed process must now be answered also when no target ran it.

--- a/src/savorysoak/caller_load.cpp
+++ b/src/savorysoak/caller_load.cpp
@@ -119,10 +119,10 @@
     const std::shared_ptr<HttpConnection> &connection) {
   if (Fleet.CheckingRecovery || randomBelow(40) != 0)
     return;
-  std::uint64_t exchanges = connection->Exchanges;
+  int exchanges = connection->Exchanges;
   runAfter(Fleet, AbandonAfter, [connection, exchanges] {
     // A connection that has been answered may carry another request.
-    if (connection->Exchanges == static_cast<int>(exchanges))
+    if (connection->Exchanges == exchanges)
       connection->close();
   });
 }
@@ -252,8 +252,8 @@
   request.SentAt = sent.SentAt;
   request.EndedAt = sent.EndedAt;
   request.Answered = sent.Status != 0;
-  request.OnKeptConnection = sent.Phase != IdlePhase::New;
-  request.WithinIdleLimit = sent.WithinIdleLimit;
+  request.WithinIdleLimit =
+      sent.Phase == IdlePhase::New || sent.WithinIdleLimit;
   request.RanAtSoundTarget =
       ranAtSoundTarget(Fleet, attempt, sent.SentAt, sent.EndedAt);
   const SoakVm &vm = Fleet.Vms[sent.Vm];
@@ -266,8 +266,7 @@
                                        "a connection at its idle timeout"};
   static const char *const verdicts[] = {
       "", "lost beside a disruption", "ran and got no answer",
-      "ran and got no answer after SIGTERM",
-      "connection closed within its idle limit"};
+      "ran and got no answer after SIGTERM", "got no answer"};
   std::string text = attempt + ": " + verdicts[static_cast<int>(verdict)] +
                      ", at vm-" + std::to_string(vm.Number) + " on " +
                      phases[static_cast<int>(sent.Phase)] + ", idle for " +
--- a/src/savorysoak/fault_injector.cpp
+++ b/src/savorysoak/fault_injector.cpp
@@ -46,6 +46,11 @@
   });
 }
 
+void FaultInjector::start() {
+  changeTimeouts();
+  injectNext();
+}
+
 void FaultInjector::injectNext() {
   if (randomBelow(3) == 0)
     injectSeveral();
@@ -57,16 +62,15 @@
 
 void FaultInjector::injectOne() {
   ++Fleet.Report.Faults;
-  int kind = static_cast<int>(randomBelow(10));
-  int variant = static_cast<int>(randomBelow(4));
+  std::size_t kind = randomBelow(10);
   if (kind < 3)
-    injectProcessFault(randomVm(), variant);
+    injectProcessFault(randomVm());
   else if (kind < 5)
-    injectStoreFault(variant);
+    injectStoreFault(randomBelow(4));
   else if (kind < 7)
-    injectTargetFault(static_cast<int>(randomBelow(5)));
+    injectTargetFault();
   else if (kind < 8)
-    injectLinkFault(variant);
+    injectLinkFault();
   else if (kind < 9)
     changeTimeouts();
   else
@@ -79,8 +83,8 @@
   case 0: {
     std::size_t first = randomBelow(Fleet.Vms.size());
     std::size_t second = (first + 1) % Fleet.Vms.size();
-    injectProcessFault(Fleet.Vms[first], static_cast<int>(randomBelow(4)));
-    injectProcessFault(Fleet.Vms[second], static_cast<int>(randomBelow(4)));
+    injectProcessFault(Fleet.Vms[first]);
+    injectProcessFault(Fleet.Vms[second]);
     break;
   }
   case 1:
@@ -96,16 +100,16 @@
     changeConfigInSeries();
     break;
   default:
-    injectTargetFault(static_cast<int>(randomBelow(5)));
-    injectProcessFault(randomVm(), static_cast<int>(randomBelow(4)));
+    injectTargetFault();
+    injectProcessFault(randomVm());
     changeTimeouts();
     break;
   }
 }
 
-void FaultInjector::injectProcessFault(SoakVm &vm, int variant) {
+void FaultInjector::injectProcessFault(SoakVm &vm) {
   Duration span = randomSpan(100, 1600);
-  switch (variant) {
+  switch (randomBelow(4)) {
   case 0:
     killVm(Fleet, vm);
     later(span, [this, &vm] { startVm(Fleet, vm); });
@@ -141,7 +145,7 @@
 void FaultInjector::restartDuringStoreOutage() {
   SoakVm &vm = randomVm();
   killVm(Fleet, vm);
-  injectStoreFault(static_cast<int>(randomBelow(2)));
+  injectStoreFault(randomBelow(2));
   later(randomSpan(50, 600), [this, &vm] { startVm(Fleet, vm); });
 }
 
@@ -168,7 +172,7 @@
   vm.Process->signal(SIGHUP);
 }
 
-void FaultInjector::injectStoreFault(int variant) {
+void FaultInjector::injectStoreFault(std::size_t variant) {
   StoreFaults faults;
   faults.Busy = variant == 0;
   faults.Silent = variant == 1;
@@ -184,13 +188,14 @@
         [this] { Fleet.Platform.Store.setFaults(StoreFaults()); });
 }
 
-void FaultInjector::injectTargetFault(int variant) {
+void FaultInjector::injectTargetFault() {
   static const TargetMode modes[] = {
       TargetMode::Shed,         TargetMode::Misdirected,
       TargetMode::DropResponse, TargetMode::WrongAttemptId,
       TargetMode::Unsigned,     TargetMode::Silent,
       TargetMode::Fail};
   std::size_t index = randomBelow(Fleet.Platform.Targets.size());
+  std::size_t variant = randomBelow(5);
   standin::PlatformTarget &target = *Fleet.Platform.Targets[index];
   if (variant == 0)
     target.removeEntry();
@@ -210,7 +215,8 @@
   });
 }
 
-void FaultInjector::injectLinkFault(int variant) {
+void FaultInjector::injectLinkFault() {
+  std::size_t variant = randomBelow(4);
   LoopbackProxy *link = randomVm().StoreLink.get();
   if (variant == 0) {
     link->resetAll();
--- a/src/savorysoak/fault_injector.h
+++ b/src/savorysoak/fault_injector.h
@@ -12,7 +12,7 @@
 public:
   explicit FaultInjector(SoakFleet &fleet);
 
-  void start() { injectNext(); }
+  void start();
   /// Ends the injection and all faults.
   void stop();
 
@@ -20,10 +20,12 @@
   void injectNext();
   void injectOne();
   void injectSeveral();
-  void injectProcessFault(SoakVm &vm, int variant);
-  void injectStoreFault(int variant);
-  void injectTargetFault(int variant);
-  void injectLinkFault(int variant);
+  void injectProcessFault(SoakVm &vm);
+  /// \param variant 0 for a busy store, 1 for a silent one, 2 for lost
+  /// responses, 3 for a delay.
+  void injectStoreFault(std::size_t variant);
+  void injectTargetFault();
+  void injectLinkFault();
   void terminateWhilePaused();
   void hangupDuringConfigChange();
   void restartDuringStoreOutage();
--- a/src/savorysoak/loss_check.cpp
+++ b/src/savorysoak/loss_check.cpp
@@ -46,9 +46,8 @@
     return LossVerdict::NotLost;
   if (request.RanAtSoundTarget)
     return LossVerdict::Lost;
-  return request.OnKeptConnection && request.WithinIdleLimit
-             ? LossVerdict::ClosedEarly
-             : LossVerdict::NotLost;
+  return request.WithinIdleLimit ? LossVerdict::Unanswered
+                                 : LossVerdict::NotLost;
 }
 
 bool isDisrupted(const std::vector<Disruption> &disruptions, MonoTime from,
--- a/src/savorysoak/loss_check.h
+++ b/src/savorysoak/loss_check.h
@@ -24,9 +24,8 @@
   MonoTime SentAt{};
   MonoTime EndedAt{};
   bool Answered = false;
-  /// The connection has carried another request before.
-  bool OnKeptConnection = false;
-  /// The connection was idle for at most four fifths of the idle timeout.
+  /// The connection was new or idle for at most four fifths of the idle
+  /// timeout.
   bool WithinIdleLimit = false;
   /// A target ran the request and was sound all the while.
   bool RanAtSoundTarget = false;
@@ -42,9 +41,9 @@
   /// A request that ran got no response, or only a 502, from a process with
   /// enough of its grace period left.
   LostInShutdown,
-  /// An undisturbed process closed a connection whose idle limit had not passed
-  /// and that had a request on its way.
-  ClosedEarly,
+  /// A request that did not run got no response from an undisturbed process,
+  /// though the idle limit of its connection had not passed.
+  Unanswered,
 };
 
 /// Determines whether a request was lost though its process could answer it.
--- a/src/savorysoak/loss_check_test.cpp
+++ b/src/savorysoak/loss_check_test.cpp
@@ -16,7 +16,6 @@
   FailedRequest request;
   request.SentAt = at(sentMs);
   request.EndedAt = at(endedMs);
-  request.OnKeptConnection = true;
   request.RanAtSoundTarget = true;
   return request;
 }
@@ -40,8 +39,6 @@
   checkVerdict(LossVerdict::Lost, request, {});
   checkVerdict(LossVerdict::Lost, request,
                {disruption(DisruptionKind::Paused, -5000, -3001)});
-  request.OnKeptConnection = false;
-  checkVerdict(LossVerdict::Lost, request, {});
   request.RanAtSoundTarget = false;
   checkVerdict(LossVerdict::NotLost, request, {});
 }
@@ -72,15 +69,16 @@
   checkVerdict(LossVerdict::NotLost, failed, {});
 }
 
-// Guards against accepting connections that close before their idle limit.
-TEST(LossCheck, IdleConnectionStaysOpenUntilItsLimit) {
+// Guards against accepting connections that close with a request on its way
+// before their idle limit.
+TEST(LossCheck, RequestWithinTheIdleLimitMustBeAnswered) {
   FailedRequest request = lostRequest(0, 1);
   request.RanAtSoundTarget = false;
   request.WithinIdleLimit = true;
-  checkVerdict(LossVerdict::ClosedEarly, request, {});
+  checkVerdict(LossVerdict::Unanswered, request, {});
   checkVerdict(LossVerdict::NotLost, request,
                {disruption(DisruptionKind::Terminated, -2800, 300)});
-  request.OnKeptConnection = false;
+  request.WithinIdleLimit = false;
   checkVerdict(LossVerdict::NotLost, request, {});
 }
 
