Inject more process faults in large soak runs

A fault every 0.6 s reaches few of 60 VMs, so one more process fault is injected at a time for each eight VMs.

--- a/src/savorysoak/fault_injector.cpp
+++ b/src/savorysoak/fault_injector.cpp
@@ -14,6 +14,8 @@
 
 constexpr int MinFaultIntervalMs = 350;
 constexpr int MaxFaultIntervalMs = 850;
+/// Large runs get one more process fault at a time for each of so many VMs.
+constexpr std::size_t VmsPerExtraFault = 8;
 /// Time for which an old and a new key are both valid, so that callers can
 /// switch first.
 constexpr Duration KeyOverlap = Millis(50);
@@ -56,6 +58,10 @@
     injectSeveral();
   else
     injectOne();
+  for (std::size_t i = 0; i < Fleet.Vms.size() / VmsPerExtraFault; ++i) {
+    ++Fleet.Report.Faults;
+    injectProcessFault(randomVm());
+  }
   later(randomSpan(MinFaultIntervalMs, MaxFaultIntervalMs),
         [this] { injectNext(); });
 }
