Let the stand-in of the store return to an older copy

The platform's store may come back from a copy some seconds old: items, leases and revisions are those of the copy, the header Store-Era rises by one, and a watch from a revision that the store does not have gets 410. The stand-in could not do that, so no test covered it.

takeCopy() and restoreCopy() do it now, and all answers carry Store-Era. Waiting watches are cut, as by a process that starts again.

--- a/src/standins/platform/platform_store.cpp
+++ b/src/standins/platform/platform_store.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
+#include <algorithm>
 #include <sstream>
 
 namespace savorylb::standin {
@@ -56,9 +57,14 @@
 } // namespace
 
 PlatformStore::PlatformStore(asio::io_context &io)
-    : Io(io), Server(
-                  io, [this](const auto &request) { serve(request); },
-                  [](int code, const char *) { return emptyResponse(code); }),
+    : Io(io),
+      Server(
+          io, [this](const auto &request) { serve(request); },
+          [this](int code, const char *) {
+            HttpMessage response = emptyResponse(code);
+            response.Fields.emplace_back("Store-Era", std::to_string(Era));
+            return response;
+          }),
       LeaseTimer(io) {
   expireLeases();
 }
@@ -82,16 +88,44 @@
   History.clear();
   CompactedRevision = Revision;
   for (const Watch &it : Watches)
-    it.Request->Respond(emptyResponse(410));
+    respond(it.Request, emptyResponse(410));
   Watches.clear();
 }
 
+void PlatformStore::takeCopy() {
+  Saved = {Items, Revision, NextLease, Leases, monoNow()};
+}
+
+void PlatformStore::restoreCopy() {
+  ++Era;
+  Items = Saved.Items;
+  Revision = Saved.Revision;
+  NextLease = Saved.NextLease;
+  Leases = Saved.Leases;
+  for (auto &[id, lease] : Leases)
+    lease.ExpiresAt += monoNow() - Saved.TakenAt;
+  while (!History.empty() && History.back().Revision > Revision)
+    History.pop_back();
+  CompactedRevision = std::min(CompactedRevision, Revision);
+  for (const Watch &it : Watches) {
+    it.Timer->cancel();
+    it.Request->Abort();
+  }
+  Watches.clear();
+}
+
+void PlatformStore::respond(const std::shared_ptr<ServedRequest> &request,
+                            HttpMessage response) const {
+  response.Fields.emplace_back("Store-Era", std::to_string(Era));
+  request->Respond(std::move(response));
+}
+
 void PlatformStore::serve(const std::shared_ptr<ServedRequest> &request) {
   ++Calls;
   if (Faults.Silent)
     return;
   if (Faults.Busy) {
-    request->Respond(emptyResponse(503));
+    respond(request, emptyResponse(503));
     return;
   }
   if (Faults.Delay == Duration::zero()) {
@@ -128,7 +162,7 @@
   } else
     response = emptyResponse(404);
   if (!Faults.DropResponses)
-    request->Respond(std::move(response));
+    respond(request, std::move(response));
   notifyWatches();
 }
 
@@ -228,7 +262,7 @@
 
 HttpMessage PlatformStore::changesAfter(const std::string &prefix,
                                         std::int64_t after, bool &hasChanges) {
-  if (after < CompactedRevision)
+  if (after < CompactedRevision || after > Revision)
     return emptyResponse(410);
   Json::Value body;
   body["events"] = Json::arrayValue;
@@ -258,7 +292,7 @@
   bool hasChanges = false;
   HttpMessage response = changesAfter(prefix, after, hasChanges);
   if (hasChanges || response.Status != 200) {
-    request->Respond(std::move(response));
+    respond(request, std::move(response));
     return;
   }
   auto timer = std::make_shared<asio::steady_timer>(
@@ -272,7 +306,7 @@
         bool lateChanges = false;
         HttpMessage late = changesAfter(it->Prefix, it->After, lateChanges);
         Watches.erase(it);
-        request->Respond(std::move(late));
+        respond(request, std::move(late));
         return;
       }
   });
@@ -305,7 +339,7 @@
       continue;
     }
     it->Timer->cancel();
-    it->Request->Respond(std::move(response));
+    respond(it->Request, std::move(response));
     it = Watches.erase(it);
   }
 }
--- a/src/standins/platform/platform_store.h
+++ b/src/standins/platform/platform_store.h
@@ -40,6 +40,11 @@
   /// with status 410.
   void compactHistory();
   void setFaults(const StoreFaults &faults) { Faults = faults; }
+  /// Copies items, revision and leases.
+  void takeCopy();
+  /// Returns to the last copy in the next era, as a store that lost its latest
+  /// changes does. Waiting watches are cut.
+  void restoreCopy();
   std::int64_t calls() const { return Calls; }
 
 private:
@@ -65,7 +70,17 @@
     MonoTime ExpiresAt{};
   };
 
+  struct Copy {
+    std::map<std::string, Item> Items;
+    std::int64_t Revision = 0;
+    std::int64_t NextLease = 0;
+    std::map<std::int64_t, Lease> Leases;
+    MonoTime TakenAt{};
+  };
+
   void serve(const std::shared_ptr<ServedRequest> &request);
+  void respond(const std::shared_ptr<ServedRequest> &request,
+               HttpMessage response) const;
   void answer(const std::shared_ptr<ServedRequest> &request);
   HttpMessage list(const std::string &path);
   HttpMessage applyTransaction(const std::string &body);
@@ -88,6 +103,9 @@
   StoreFaults Faults;
   std::map<std::string, Item> Items;
   std::deque<Change> History;
+  /// Value of the header `Store-Era`.
+  std::int64_t Era = 1;
+  Copy Saved;
   std::int64_t Revision = 100;
   std::int64_t CompactedRevision = 100;
   std::int64_t NextLease = 1000;
--- a/src/standins/platform/simulated_platform.cpp
+++ b/src/standins/platform/simulated_platform.cpp
@@ -39,7 +39,7 @@
 bool SimulatedPlatform::start(int net) {
   Net = net;
   configure({"key-1"});
-  return Store.listen(loopbackAddress(Net, 1, StorePort));
+  return Store.listen(storeAddress());
 }
 
 PlatformTarget &SimulatedPlatform::addTarget(const std::string &service,
@@ -89,6 +89,10 @@
   return loopbackAddress(Net, n, ReadyPort);
 }
 
+std::string SimulatedPlatform::storeAddress() const {
+  return loopbackAddress(Net, 1, StorePort);
+}
+
 std::string SimulatedPlatform::vmSettings(int n,
                                           const std::string &zone) const {
   Json::Value value;
@@ -103,7 +107,7 @@
   value["ready_address"] = readyAddress(n);
   value["lookup_address"] = lookupAddress(n);
   value["peer_port"] = std::to_string(PeerPort);
-  value["store_address"] = loopbackAddress(Net, 1, StorePort);
+  value["store_address"] = storeAddress();
   value["repeat_slack"] = "60";
   return platform::writeJson(value);
 }
