Enter a new era of the store at once in all mirrors

What callers saw: after the store came back from an older copy of itself, a configuration that was written then was not in force seconds later, on most VMs for good (CONFIG).

Cause: mirrors compare bare revisions. After a restore the store gives revisions out again, so documents of the new era looked older than those from before it and were ignored. Where the revisions had already passed the known one, the watch did not even get 410 and skipped what lay below.

Change: a StorePosition is an era and a revision, ordered by era first, and takes the place of bare revisions in mirrors, documents and the messages between VMs. The era is read from the header Store-Era of each answer, errors included.

Documents are marked when they come from the first list of a new era. The configuration never goes back; a VM that starts before the operator has written again fetches the newer one from the VMs that report it.

The same list also told followers too little: a mirror that was filled by its first list, or by one after 410, claimed to know all removals since revision 0.

--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -48,6 +48,7 @@
   StoreWrite = 4010,
   ConfigActivated = 4011,
   PeerDocumentsAdopted = 4012,
+  StoreRestored = 4013,
   // Rollouts.
   RolloutStepped = 5001,
   RolloutStopped = 5002,
--- a/src/include/savorylb/units.h
+++ b/src/include/savorylb/units.h
@@ -81,7 +81,8 @@
 constexpr Ppm WholePpm{1'000'000};
 constexpr MicroTokens OneToken{1'000'000};
 
-/// Revision of a document in the store; it never decreases.
+/// Revision of a document in the store. See StorePosition for stores that may
+/// come back from an older copy.
 using Revision = Quantity<struct RevisionTag>;
 
 } // namespace savorylb
--- a/src/libsavoryobserve/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -14,6 +14,8 @@
     return "config_in_force";
   case EventCode::PeerDocumentsAdopted:
     return "peer_documents_adopted";
+  case EventCode::StoreRestored:
+    return "store_restored";
   case EventCode::RolloutOrdered:
     return "rollout_ordered";
   case EventCode::EvacuationStarted:
--- a/src/libsavorysteer/fleet_view.cpp
+++ b/src/libsavorysteer/fleet_view.cpp
@@ -97,7 +97,7 @@
 }
 
 RolloutEvidence peerEvidence(const FleetView &view, const ServiceId &service,
-                             Revision orderRevision) {
+                             StorePosition orderRevision) {
   RolloutEvidence sum;
   for (const auto &[vm, peer] : view.Peers) {
     auto it = peer.Report.Rollouts.find(service);
--- a/src/libsavorysteer/fleet_view.h
+++ b/src/libsavorysteer/fleet_view.h
@@ -28,13 +28,16 @@
   VmEntry Vm;
   bool Draining = false;
   /// Newest revision of the operators' documents known to the VM.
-  Revision DocumentsRevision;
+  StorePosition DocumentsRevision;
+  /// Version of the VM's configuration; 0 without one. It may be newer than the
+  /// one in a store that came back from an older copy.
+  std::int64_t ConfigVersion = 0;
   /// Requests per second of each team that arrive at the VM.
   std::map<TeamId, double> Demand;
   /// Progress of one rollout as observed by the VM.
   struct Rollout {
     /// Revision of the rollout order.
-    Revision OrderRevision;
+    StorePosition OrderRevision;
     /// Time since the order.
     Duration Elapsed{0};
     /// The new version was judged bad.
@@ -92,7 +95,7 @@
 /// \param orderRevision revision of the rollout order.
 /// \returns the evidence on a rollout that the other VMs reported.
 RolloutEvidence peerEvidence(const FleetView &view, const ServiceId &service,
-                             Revision orderRevision);
+                             StorePosition orderRevision);
 
 } // namespace savorylb
 
--- a/src/libsavorysteer/rollout_stage.h
+++ b/src/libsavorysteer/rollout_stage.h
@@ -2,7 +2,7 @@
 #define SAVORYLB_ROLLOUT_STAGE_H
 
 #include "savorylb/ids.h"
-#include "savorylb/units.h"
+#include "savorylb/store_position.h"
 
 #include <map>
 
@@ -15,7 +15,7 @@
   /// The rollout has to be complete this long after the order.
   Duration Window{0};
   /// Distinguishes the orders for one service.
-  Revision OrderRevision;
+  StorePosition OrderRevision;
 };
 
 /// State of a rollout as recorded in the store.
@@ -26,7 +26,7 @@
   RolloutState State = RolloutState::None;
   VersionId Version;
   /// Revision at which the status was written.
-  Revision StatusRevision;
+  StorePosition StatusRevision;
 };
 
 /// Response counts by which a version is judged.
--- a/src/libsavorysteer/steering_reports.cpp
+++ b/src/libsavorysteer/steering_reports.cpp
@@ -64,6 +64,7 @@
   report.Vm = state.Fleet.Self;
   report.Draining = state.Fleet.SelfDraining;
   report.DocumentsRevision = state.DocumentsRevision;
+  report.ConfigVersion = state.Config ? state.Config->Version : 0;
   for (auto &[id, limit] : state.LocalTeamLimits) {
     updateDemand(limit, now);
     // A team with at most 0.05 requests per second counts as idle and is left
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -58,7 +58,7 @@
   std::map<ZoneId, RegionId> Zones;
   std::shared_ptr<const SteerConfig> Config;
   /// Revision of the newest operators' document.
-  Revision DocumentsRevision;
+  StorePosition DocumentsRevision;
   std::map<TargetId, TargetState> Targets;
   std::map<ServiceId, ServiceState> Services;
   /// This VM's own token buckets, used while a ledger's owner is unreachable,
@@ -201,7 +201,7 @@
   RolloutState State = RolloutState::None;
   VersionId Version;
   /// Revision of the status that it replaces; 0 if there is none.
-  Revision ReplacedRevision;
+  StorePosition ReplacedRevision;
 };
 
 /// Judges all rollouts by the evidence of all VMs.
--- a/src/libsavorysteer/steering_state_test.cpp
+++ b/src/libsavorysteer/steering_state_test.cpp
@@ -10,6 +10,10 @@
 constexpr MonoTime Start{Seconds(100)};
 const ServiceId Tiles("tiles");
 
+StorePosition at(std::int64_t revision, std::int64_t era = 0) {
+  return {StoreEra(era), Revision(revision)};
+}
+
 SteerConfig makeConfig(std::int64_t version) {
   SteerConfig config;
   config.Version = version;
@@ -115,7 +119,7 @@
   updateTarget(state, target("i-4", "elm-a", "v2"), Start);
   for (int i = 0; i < 50; ++i)
     STRCMP_EQUAL("v1", versionAt(state, Start).c_str());
-  applyRolloutOrder(state, {Tiles, VersionId("v2"), Seconds(14), Revision(20)},
+  applyRolloutOrder(state, {Tiles, VersionId("v2"), Seconds(14), at(20)},
                     Start);
   int tried = 0;
   for (int i = 0; i < 100; ++i)
@@ -125,7 +129,7 @@
   for (int i = 0; i < 50; ++i)
     STRCMP_EQUAL("v1", versionAt(state, Start + Seconds(13)).c_str());
   applyRolloutStatus(state, Tiles,
-                     {RolloutState::RolledBack, VersionId("v2"), Revision(25)});
+                     {RolloutState::RolledBack, VersionId("v2"), at(25)});
   STRCMP_EQUAL("v1", versionAt(state, Start + Seconds(13)).c_str());
 }
 
@@ -133,14 +137,14 @@
 TEST(SteeringState, CompletedRolloutUsesOnlyTheNewVersion) {
   SteeringState state = makeState();
   updateTarget(state, target("i-3", "tema-a", "v2"), Start);
-  applyRolloutOrder(state, {Tiles, VersionId("v2"), Seconds(14), Revision(20)},
+  applyRolloutOrder(state, {Tiles, VersionId("v2"), Seconds(14), at(20)},
                     Start);
   applyRolloutStatus(state, Tiles,
-                     {RolloutState::Completed, VersionId("v2"), Revision(30)});
+                     {RolloutState::Completed, VersionId("v2"), at(30)});
   for (int i = 0; i < 50; ++i)
     STRCMP_EQUAL("v2", versionAt(state, Start).c_str());
   // A new order takes precedence over an earlier status.
-  applyRolloutOrder(state, {Tiles, VersionId("v3"), Seconds(14), Revision(40)},
+  applyRolloutOrder(state, {Tiles, VersionId("v3"), Seconds(14), at(40)},
                     Start);
   CHECK_TRUE(rolloutRuns(state.Services[Tiles]));
 }
@@ -149,11 +153,11 @@
 // failures.
 TEST(SteeringState, VerdictOfAnotherVmCounts) {
   SteeringState state = makeState();
-  applyRolloutOrder(state, {Tiles, VersionId("v2"), Seconds(14), Revision(20)},
+  applyRolloutOrder(state, {Tiles, VersionId("v2"), Seconds(14), at(20)},
                     Start);
   PeerReport report;
   report.Vm.Vm = VmId("vm-2");
-  report.Rollouts[Tiles] = {Revision(20), Seconds(3), true, {}};
+  report.Rollouts[Tiles] = {at(20), Seconds(3), true, {}};
   applyPeerReport(state, report, Start);
   CHECK_TRUE(state.Services[Tiles].NewVersionBad);
   // The rollout was ordered three seconds ago, which this VM learns only now.
--- a/src/savoryvm/peer_codec.cpp
+++ b/src/savoryvm/peer_codec.cpp
@@ -37,6 +37,12 @@
   return entry;
 }
 
+/// Reads a revision and its era; VMs of earlier builds send no era.
+StorePosition readRevision(const Json::Value &value, const char *name) {
+  return {StoreEra(integerMember(value, "era").value_or(0)),
+          Revision(integerMember(value, name).value_or(0))};
+}
+
 Json::Value tallyValue(const VersionTally &tally) {
   Json::Value value;
   value.append(static_cast<Json::Int64>(tally.Responses));
@@ -111,12 +117,17 @@
 std::string writePeerReport(const PeerReport &report) {
   Json::Value value = entryValue(report.Vm);
   value["draining"] = report.Draining;
-  value["documents"] = static_cast<Json::Int64>(report.DocumentsRevision.Value);
+  value["documents"] =
+      static_cast<Json::Int64>(report.DocumentsRevision.Number.Value);
+  value["era"] = static_cast<Json::Int64>(report.DocumentsRevision.Era.Value);
+  value["config"] = static_cast<Json::Int64>(report.ConfigVersion);
   for (const auto &[team, rate] : report.Demand)
     value["demand"][team.Value] = static_cast<int>(rate * 100) / 100.0;
   for (const auto &[service, rollout] : report.Rollouts) {
     Json::Value &out = value["rollouts"][service.Value];
-    out["ordered"] = static_cast<Json::Int64>(rollout.OrderRevision.Value);
+    out["ordered"] =
+        static_cast<Json::Int64>(rollout.OrderRevision.Number.Value);
+    out["era"] = static_cast<Json::Int64>(rollout.OrderRevision.Era.Value);
     out["elapsed_ms"] =
         static_cast<Json::Int64>(rollout.Elapsed.count() / 1000);
     out["bad"] = rollout.Bad;
@@ -139,8 +150,8 @@
   report.Vm = entry.value();
   report.Draining =
       member(*value, "draining").isBool() && (*value)["draining"].asBool();
-  report.DocumentsRevision =
-      Revision(integerMember(*value, "documents").value_or(0));
+  report.DocumentsRevision = readRevision(*value, "documents");
+  report.ConfigVersion = integerMember(*value, "config").value_or(0);
   const Json::Value &demand = member(*value, "demand");
   if (demand.isObject())
     for (const std::string &it : demand.getMemberNames())
@@ -151,8 +162,7 @@
     for (const std::string &it : rollouts.getMemberNames()) {
       const Json::Value &in = rollouts[it];
       PeerReport::Rollout rollout;
-      rollout.OrderRevision =
-          Revision(integerMember(in, "ordered").value_or(0));
+      rollout.OrderRevision = readRevision(in, "ordered");
       rollout.Elapsed = Millis(integerMember(in, "elapsed_ms").value_or(0));
       rollout.Bad = member(in, "bad").isBool() && in["bad"].asBool();
       const Json::Value &routes = member(in, "routes");
--- a/src/savoryvm/peer_codec_test.cpp
+++ b/src/savoryvm/peer_codec_test.cpp
@@ -13,10 +13,11 @@
   report.Vm = {VmId("vm-1"),     ZoneId("tema-a"), RegionId("tema"),
                "127.0.0.1:8001", "127.0.0.1:8004", "s1"};
   report.Draining = true;
-  report.DocumentsRevision = Revision(77);
+  report.DocumentsRevision = {StoreEra(3), Revision(77)};
+  report.ConfigVersion = 12;
   report.Demand[TeamId("port")] = 12.5;
   report.Rollouts[ServiceId("tiles")] = {
-      Revision(70),
+      {StoreEra(2), Revision(70)},
       Millis(2500),
       true,
       {{RouteId("r"), {{5, 2, 1}, {9, 0, 0}}}}};
@@ -25,14 +26,28 @@
   const PeerReport &other = read.value();
   STRCMP_EQUAL("s1", other.Vm.StartId.c_str());
   CHECK_TRUE(other.Draining);
-  LONGS_EQUAL(77, other.DocumentsRevision.Value);
+  LONGS_EQUAL(77, other.DocumentsRevision.Number.Value);
+  LONGS_EQUAL(3, other.DocumentsRevision.Era.Value);
+  LONGS_EQUAL(12, other.ConfigVersion);
   DOUBLES_EQUAL(12.5, other.Demand.at(TeamId("port")), 0.01);
   const PeerReport::Rollout &rollout = other.Rollouts.at(ServiceId("tiles"));
   CHECK_TRUE(rollout.Bad);
+  CHECK_TRUE(
+      (rollout.OrderRevision == StorePosition(StoreEra(2), Revision(70))));
   CHECK_TRUE(rollout.Elapsed == Duration(Millis(2500)));
   LONGS_EQUAL(2, rollout.Evidence.at(RouteId("r")).NewVersion.Failures);
 }
 
+// Guards against rejecting the reports of VMs of an earlier build.
+TEST(PeerCodec, ReportWithoutEraIsOfEraZero) {
+  auto read = readPeerReport(
+      R"({"vm":"vm-1","callers":"127.0.0.1:8001","documents":77})");
+  CHECK_TRUE(read.has_value());
+  LONGS_EQUAL(77, read.value().DocumentsRevision.Number.Value);
+  LONGS_EQUAL(0, read.value().DocumentsRevision.Era.Value);
+  LONGS_EQUAL(0, read.value().ConfigVersion);
+}
+
 // Guards against accepting foreign or malformed datagrams as messages of a VM.
 TEST(PeerCodec, RejectsMalformedText) {
   for (const char *it : {"", "{}", "[1]", "{\"vm\":5}", "\x01\x02"}) {
--- a/src/savoryvm/store_mirror.cpp
+++ b/src/savoryvm/store_mirror.cpp
@@ -3,18 +3,16 @@
 #include "json_read.h"
 
 namespace savorylb {
+
+using platform::StoreItem;
+using platform::StorePage;
+
 namespace {
 
 /// Removals kept for followers; they cover some minutes of a large fleet.
 constexpr std::size_t MaxRemovals = 512;
 
-} // namespace
-
-using platform::StoreItem;
-using platform::StorePage;
-
-std::vector<StoreItem> applyChanges(StoreMirror &mirror,
-                                    const StorePage &page) {
+std::vector<StoreItem> applyPage(StoreMirror &mirror, const StorePage &page) {
   std::vector<StoreItem> applied;
   for (const StoreItem &it : page.Items) {
     auto known = mirror.Items.find(it.Key);
@@ -40,8 +38,19 @@
   return applied;
 }
 
+} // namespace
+
+std::vector<StoreItem> applyChanges(StoreMirror &mirror,
+                                    const StorePage &page) {
+  if (isListed(mirror) && page.StoreRevision.Era != mirror.KnownRevision.Era)
+    return {};
+  return applyPage(mirror, page);
+}
+
 std::vector<StoreItem> applySnapshot(StoreMirror &mirror,
                                      const StorePage &page) {
+  if (page.StoreRevision.Era < mirror.KnownRevision.Era)
+    return {};
   StorePage changes = page;
   std::map<std::string, bool> listed;
   for (const StoreItem &it : page.Items)
@@ -56,13 +65,25 @@
     removal.Removed = true;
     changes.Items.push_back(removal);
   }
-  return applyChanges(mirror, changes);
+  bool fromCopy =
+      isListed(mirror) && mirror.KnownRevision.Era < page.StoreRevision.Era;
+  for (StoreItem &it : changes.Items)
+    it.FromCopy = fromCopy;
+  std::vector<StoreItem> applied = applyPage(mirror, changes);
+  // Followers that are behind the list need a snapshot: the list does not show
+  // keys that were both written and removed since the previous one.
+  if (page.StoreRevision >= mirror.KnownRevision) {
+    mirror.RemovalsSince = page.StoreRevision;
+    mirror.Removals.clear();
+  }
+  return applied;
 }
 
-MirrorUpdate updateSince(const StoreMirror &mirror, Revision after) {
+MirrorUpdate updateSince(const StoreMirror &mirror, StorePosition after) {
   MirrorUpdate update;
   update.Page.StoreRevision = mirror.KnownRevision;
-  update.Snapshot = after < mirror.RemovalsSince;
+  update.Snapshot =
+      after < mirror.RemovalsSince || after.Era != mirror.KnownRevision.Era;
   for (const auto &[key, item] : mirror.Items)
     if (update.Snapshot || item.ModRevision > after)
       update.Page.Items.push_back(item);
@@ -73,16 +94,32 @@
   return update;
 }
 
+std::string writePosition(StorePosition position) {
+  // Earlier builds read the digits up to the first other character.
+  return std::to_string(position.Number.Value) + "@" +
+         std::to_string(position.Era.Value);
+}
+
+StorePosition readPosition(const std::string &text, StoreEra era) {
+  std::size_t at = text.find('@');
+  if (at != std::string::npos)
+    era = StoreEra(std::atoll(text.c_str() + at + 1));
+  return {era, Revision(std::atoll(text.c_str()))};
+}
+
 std::string writeMirrorUpdate(const MirrorUpdate &update) {
   Json::Value value;
-  value["known"] = static_cast<Json::Int64>(update.Page.StoreRevision.Value);
+  const StorePosition &known = update.Page.StoreRevision;
+  value["known"] = static_cast<Json::Int64>(known.Number.Value);
+  // All documents of a mirror are of its era.
+  value["era"] = static_cast<Json::Int64>(known.Era.Value);
   value["whole"] = update.Snapshot;
   value["stale"] = update.Stale;
   value["items"] = Json::arrayValue;
   for (const StoreItem &item : update.Page.Items) {
     Json::Value row;
     row["key"] = item.Key;
-    row["changed"] = static_cast<Json::Int64>(item.ModRevision.Value);
+    row["changed"] = static_cast<Json::Int64>(item.ModRevision.Number.Value);
     if (item.Removed)
       row["removed"] = true;
     else
@@ -102,16 +139,18 @@
            platform::member(in, name).asBool();
   };
   MirrorUpdate update;
-  update.Page.StoreRevision =
-      Revision(*platform::integerMember(*value, "known"));
+  // VMs of earlier builds send no era.
+  StoreEra era(platform::integerMember(*value, "era").value_or(0));
+  update.Page.StoreRevision = {
+      era, Revision(*platform::integerMember(*value, "known"))};
   update.Snapshot = flag(*value, "whole");
   update.Stale = flag(*value, "stale");
   for (const Json::Value &row : platform::member(*value, "items")) {
     StoreItem item;
     item.Key = platform::stringMember(row, "key").value_or("");
     item.Value = platform::stringMember(row, "value").value_or("");
-    item.ModRevision =
-        Revision(platform::integerMember(row, "changed").value_or(0));
+    item.ModRevision = {
+        era, Revision(platform::integerMember(row, "changed").value_or(0))};
     item.Removed = flag(row, "removed");
     update.Page.Items.push_back(item);
   }
--- a/src/savoryvm/store_mirror.h
+++ b/src/savoryvm/store_mirror.h
@@ -15,13 +15,18 @@
   std::string Prefix;
   std::map<std::string, platform::StoreItem> Items;
   /// Store revision up to which the copy is complete; 0 before the first list.
-  Revision KnownRevision;
+  StorePosition KnownRevision;
   /// The latest removals in the order in which they were seen. The list is
   /// complete for all revisions after RemovalsSince.
   std::deque<platform::StoreItem> Removals;
-  Revision RemovalsSince;
+  StorePosition RemovalsSince;
 };
 
+/// \returns whether the mirror has been filled by a list.
+inline bool isListed(const StoreMirror &mirror) {
+  return mirror.KnownRevision.Number.Value > 0;
+}
+
 /// Update that a VM receives from the VM whose mirror it follows.
 struct MirrorUpdate {
   platform::StorePage Page;
@@ -33,8 +38,15 @@
 
 /// Collects the changes of a mirror after a revision.
 /// \returns the changes; a snapshot when removals after that revision have
-///          already been discarded.
-MirrorUpdate updateSince(const StoreMirror &mirror, Revision after);
+///          already been discarded, or when the revision is of another
+///          era.
+MirrorUpdate updateSince(const StoreMirror &mirror, StorePosition after);
+
+/// Serializes a position for the path of a request for an update.
+std::string writePosition(StorePosition position);
+/// Parses a position. VMs of earlier builds write no era.
+/// \param era era of a position that is written without one.
+StorePosition readPosition(const std::string &text, StoreEra era);
 
 /// Serializes an update.
 std::string writeMirrorUpdate(const MirrorUpdate &update);
@@ -42,14 +54,16 @@
 /// \returns the update, or Malformed.
 Result<MirrorUpdate> readMirrorUpdate(const std::string &text);
 
-/// Applies changes; those that are not newer than the mirror are ignored.
+/// Applies changes; those that are not newer than the mirror are ignored, as
+/// are changes of another era than the mirror's.
 /// \returns the changes that were applied.
 std::vector<platform::StoreItem> applyChanges(StoreMirror &mirror,
                                               const platform::StorePage &page);
 
 /// Replaces the content of a mirror by a complete list. Documents that are
-/// newer than the list are kept.
-/// \returns the differences, including removals.
+/// newer than the list are kept, and a list of an older era is ignored.
+/// \returns the differences, including removals; marked as FromCopy when the
+///          list is the first one of a newer era.
 std::vector<platform::StoreItem> applySnapshot(StoreMirror &mirror,
                                                const platform::StorePage &page);
 
--- a/src/savoryvm/store_mirror_test.cpp
+++ b/src/savoryvm/store_mirror_test.cpp
@@ -8,19 +8,24 @@
 
 namespace {
 
+StorePosition at(std::int64_t revision, std::int64_t era = 0) {
+  return {StoreEra(era), Revision(revision)};
+}
+
 StoreItem item(const std::string &key, std::int64_t revision,
-               bool removed = false) {
+               bool removed = false, std::int64_t era = 0) {
   StoreItem it;
   it.Key = key;
   it.Value = "v" + std::to_string(revision);
-  it.ModRevision = Revision(revision);
+  it.ModRevision = at(revision, era);
   it.Removed = removed;
   return it;
 }
 
-StorePage page(std::int64_t read, std::vector<StoreItem> items) {
+StorePage page(std::int64_t read, std::vector<StoreItem> items,
+               std::int64_t era = 0) {
   StorePage it;
-  it.StoreRevision = Revision(read);
+  it.StoreRevision = at(read, era);
   it.Items = std::move(items);
   return it;
 }
@@ -56,12 +61,11 @@
 TEST(StoreMirror, UpdateRoundTrips) {
   StoreMirror mirror;
   applyChanges(mirror, page(5, {item("a", 4), item("b", 5)}));
-  auto read =
-      readMirrorUpdate(writeMirrorUpdate(updateSince(mirror, Revision(0))));
+  auto read = readMirrorUpdate(writeMirrorUpdate(updateSince(mirror, at(0))));
   CHECK_TRUE(read.has_value());
   StoreMirror other;
   applyChanges(other, read.value().Page);
-  LONGS_EQUAL(5, other.KnownRevision.Value);
+  LONGS_EQUAL(5, other.KnownRevision.Number.Value);
   STRCMP_EQUAL("v4", other.Items["a"].Value.c_str());
   CHECK_FALSE(readMirrorUpdate("busy").has_value());
 }
@@ -78,6 +82,87 @@
   applyChanges(other, update.Page);
   LONGS_EQUAL(2, other.Items.size());
   LONGS_EQUAL(0, other.Items.count("a"));
-  mirror.RemovalsSince = Revision(7);
-  CHECK_TRUE(updateSince(mirror, Revision(6)).Snapshot);
+  mirror.RemovalsSince = at(7);
+  CHECK_TRUE(updateSince(mirror, at(6)).Snapshot);
+}
+
+// Guards against comparing revisions of two eras by their numbers.
+TEST(StoreMirror, PositionsAreOrderedByEraFirst) {
+  CHECK_TRUE(at(9, 1) < at(3, 2));
+  CHECK_TRUE(at(3, 2) > at(9, 1));
+  CHECK_TRUE(at(3, 2) < at(4, 2));
+  CHECK_TRUE(at(3, 2) <= at(3, 2));
+  CHECK_FALSE(at(3, 2) == at(3, 1));
+}
+
+// Guards against ignoring the documents of a new era because their revisions
+// are lower than those known from the era before.
+TEST(StoreMirror, ListOfNewEraReplacesTheMirror) {
+  StoreMirror mirror;
+  applySnapshot(mirror, page(90, {item("a", 80), item("b", 90)}));
+  auto changes = applySnapshot(mirror, page(40, {item("a", 35, false, 1)}, 1));
+  LONGS_EQUAL(2, changes.size());
+  CHECK_TRUE(changes[0].FromCopy);
+  CHECK_TRUE(changes[1].FromCopy && changes[1].Removed);
+  STRCMP_EQUAL("v35", mirror.Items["a"].Value.c_str());
+  CHECK_TRUE(mirror.KnownRevision == at(40, 1));
+  changes = applyChanges(mirror, page(41, {item("a", 41, true, 1)}, 1));
+  LONGS_EQUAL(1, changes.size());
+  CHECK_FALSE(changes[0].FromCopy);
+}
+
+// Guards against a late answer, or a watcher, that returns a mirror to an older
+// era.
+TEST(StoreMirror, OlderEraIsIgnored) {
+  StoreMirror mirror;
+  applySnapshot(mirror, page(40, {item("a", 35, false, 1)}, 1));
+  LONGS_EQUAL(0, applyChanges(mirror, page(90, {item("c", 90)})).size());
+  LONGS_EQUAL(0, applySnapshot(mirror, page(90, {item("c", 90)})).size());
+  CHECK_TRUE(mirror.KnownRevision == at(40, 1));
+  LONGS_EQUAL(1, mirror.Items.size());
+}
+
+// Guards against applying the changes of a new era to documents of the old one.
+TEST(StoreMirror, ChangesOfNewEraNeedAList) {
+  StoreMirror mirror;
+  applySnapshot(mirror, page(40, {item("a", 35)}));
+  LONGS_EQUAL(
+      0, applyChanges(mirror, page(50, {item("b", 50, false, 1)}, 1)).size());
+  CHECK_TRUE(mirror.KnownRevision == at(40));
+}
+
+// Guards against a follower that keeps documents which the new era lacks.
+TEST(StoreMirror, FollowerOfAnotherEraReceivesASnapshot) {
+  StoreMirror mirror;
+  applySnapshot(mirror, page(40, {item("a", 35, false, 1)}, 1));
+  CHECK_TRUE(updateSince(mirror, at(90)).Snapshot);
+  CHECK_FALSE(updateSince(mirror, at(40, 1)).Snapshot);
+  StoreMirror follower;
+  applySnapshot(follower, page(90, {item("b", 90)}));
+  auto update = readMirrorUpdate(
+      writeMirrorUpdate(updateSince(mirror, follower.KnownRevision)));
+  CHECK_TRUE(update.value().Snapshot);
+  applySnapshot(follower, update.value().Page);
+  CHECK_TRUE(follower.KnownRevision == at(40, 1));
+  LONGS_EQUAL(0, follower.Items.count("b"));
+  LONGS_EQUAL(1, follower.Items.count("a"));
+}
+
+// Guards against a follower that misses a key which was written and removed
+// again before the watcher's first list.
+TEST(StoreMirror, FollowerBehindTheFirstListReceivesASnapshot) {
+  StoreMirror mirror;
+  applySnapshot(mirror, page(40, {item("a", 35)}));
+  CHECK_TRUE(updateSince(mirror, at(39)).Snapshot);
+  CHECK_FALSE(updateSince(mirror, at(40)).Snapshot);
+}
+
+// Guards against misreading requests of VMs of an earlier build, which send no
+// era, and against requests that those cannot read.
+TEST(StoreMirror, PositionsRoundTrip) {
+  STRCMP_EQUAL("41@3", writePosition(at(41, 3)).c_str());
+  CHECK_TRUE(readPosition("41@3", StoreEra(9)) == at(41, 3));
+  CHECK_TRUE(readPosition("41", StoreEra(9)) == at(41, 9));
+  auto update = readMirrorUpdate(R"({"known":7,"items":[]})");
+  CHECK_TRUE(update.value().Page.StoreRevision == at(7));
 }
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -35,13 +35,38 @@
 
 void StoreSync::schedule(Duration pause, const std::function<void()> &next) {
   Timer.expires_after(pause);
-  Timer.async_wait([next](const boost::system::error_code &ec) {
-    if (!ec)
-      next();
-  });
+  std::uint64_t generation = ++StepGeneration;
+  Timer.async_wait(
+      [this, generation, next](const boost::system::error_code &ec) {
+        // The handler may already have been queued when the step was replaced.
+        if (!ec && generation == StepGeneration)
+          next();
+      });
+}
+
+bool StoreSync::isNewEra(const Result<HttpMessage> &response) {
+  if (!response)
+    return false;
+  StoreEra era = platform::readStoreEra(response.value());
+  OnEra(era);
+  return isListed(Mirror) && era > Mirror.KnownRevision.Era;
+}
+
+void StoreSync::enterEra(StoreEra era) {
+  if (!isListed(Mirror) || era <= Mirror.KnownRevision.Era || Listing)
+    return;
+  // The call in progress waits for changes of the older era.
+  ++StepGeneration;
+  Timer.cancel();
+  Channel.close();
+  if (WatcherChannel)
+    WatcherChannel->close();
+  NeedsList = true;
+  list("");
 }
 
 void StoreSync::onFailure(const Error &error) {
+  Listing = false;
   // NotFound: the store no longer has the history that the watch needs. All
   // other errors come from the network or from an overloaded store.
   if (error.Code == ErrorCode::NotFound)
@@ -51,54 +76,66 @@
     StoreFailing = true;
     answerFollowers();
   }
-  schedule(RetryPause, [this] {
-    if (NeedsList)
-      list("");
-    else
-      watch();
-  });
+  schedule(RetryPause, [this] { watch(); });
 }
 
 void StoreSync::list(const std::string &after) {
+  Listing = true;
   if (after.empty())
     PendingList = platform::StorePage();
   Channel.call(platform::listRequest(Mirror.Prefix, after), CallTimeout,
                [this, after](const Result<HttpMessage> &response) {
+                 isNewEra(response);
                  auto page = response ? platform::readPage(response.value())
                                       : Result<platform::StorePage>(
                                             failure(response.error().Code,
                                                     response.error().Message));
-                 if (!page) {
+                 if (page)
+                   onListPage(page.value(), after.empty());
+                 else
                    onFailure(page.error());
-                   return;
-                 }
-                 // Later pages may hold newer documents; the watch returns all
-                 // changes since the first page.
-                 if (after.empty())
-                   PendingList.StoreRevision = page.value().StoreRevision;
-                 for (auto &it : page.value().Items)
-                   PendingList.Items.push_back(std::move(it));
-                 if (page.value().HasMore && !PendingList.Items.empty()) {
-                   list(PendingList.Items.back().Key);
-                   return;
-                 }
-                 NeedsList = false;
-                 OnContact(true);
-                 OnChanged(applySnapshot(Mirror, PendingList));
-                 Mirror.KnownRevision = PendingList.StoreRevision;
-                 watch();
                });
 }
 
+void StoreSync::onListPage(const platform::StorePage &page, bool first) {
+  // Later pages may hold newer documents; the watch returns all changes since
+  // the first page.
+  if (first)
+    PendingList.StoreRevision = page.StoreRevision;
+  StoreEra era = PendingList.StoreRevision.Era;
+  bool outdated = era < Mirror.KnownRevision.Era;
+  if (page.StoreRevision.Era != era || outdated) {
+    Listing = false;
+    schedule(outdated ? RetryPause : Duration(0), [this] { list(""); });
+    return;
+  }
+  for (const auto &it : page.Items)
+    PendingList.Items.push_back(it);
+  if (page.HasMore && !PendingList.Items.empty()) {
+    list(PendingList.Items.back().Key);
+    return;
+  }
+  Listing = false;
+  NeedsList = false;
+  StoreFailing = false;
+  OnContact(true);
+  OnChanged(applySnapshot(Mirror, PendingList));
+  Mirror.KnownRevision = PendingList.StoreRevision;
+  answerFollowers();
+  watch();
+}
+
 void StoreSync::watch() {
   std::string address = selectWatcher(
       Selection,
       PreferredWatchers ? PreferredWatchers() : std::vector<std::string>(),
       StoreFailing, monoNow());
-  if (address.empty())
-    watchStore();
-  else
+  if (!address.empty() && isListed(Mirror))
     followWatcher(address);
+  else if (NeedsList)
+    list("");
+  else
+    watchStore();
 }
 
 void StoreSync::watchStore() {
@@ -109,6 +146,11 @@
   Channel.call(
       platform::watchRequest(Mirror.Prefix, Mirror.KnownRevision, wait),
       Duration(wait) + timeout, [this](const Result<HttpMessage> &response) {
+        if (isNewEra(response)) {
+          NeedsList = true;
+          list("");
+          return;
+        }
         auto page = response
                         ? platform::readPage(response.value())
                         : Result<platform::StorePage>(failure(
@@ -133,8 +175,8 @@
   }
   HttpMessage request;
   request.Method = "GET";
-  request.Path = "/news/" + std::to_string(Mirror.KnownRevision.Value) + "/" +
-                 Mirror.Prefix;
+  request.Path =
+      "/news/" + writePosition(Mirror.KnownRevision) + "/" + Mirror.Prefix;
   WatcherChannel->call(request, FollowerWait + FollowerTimeout,
                        [this, address](const Result<HttpMessage> &response) {
                          onWatcherUpdate(address, response);
@@ -147,7 +189,12 @@
       response && response.value().Status == 200
           ? readMirrorUpdate(response.value().Body)
           : Result<MirrorUpdate>(failure(ErrorCode::Unavailable, "no update"));
-  if (!update || update.value().Stale) {
+  if (update)
+    OnEra(update.value().Page.StoreRevision.Era);
+  bool usable =
+      update && !update.value().Stale &&
+      update.value().Page.StoreRevision.Era >= Mirror.KnownRevision.Era;
+  if (!usable) {
     incrementCounter("follow_failed");
     recordWatcherFailure(Selection, address, monoNow());
     schedule(Duration(0), [this] { watch(); });
@@ -158,31 +205,44 @@
   const platform::StorePage &page = update.value().Page;
   OnChanged(update.value().Snapshot ? applySnapshot(Mirror, page)
                                     : applyChanges(Mirror, page));
+  // An update is complete up to the watcher's revision.
+  if (page.StoreRevision.Era == Mirror.KnownRevision.Era)
+    NeedsList = false;
   answerFollowers();
   // The pause between two requests to a followed watcher.
   schedule(WatchPause / 4, [this] { watch(); });
 }
 
 void StoreSync::respond(const std::shared_ptr<ServedRequest> &request,
-                        Revision after) {
+                        StorePosition after) {
   MirrorUpdate update = updateSince(Mirror, after);
   update.Stale = StoreFailing;
   request->Respond(jsonResponse(200, writeMirrorUpdate(update)));
 }
 
 void StoreSync::serveFollower(const std::shared_ptr<ServedRequest> &request,
-                              Revision after) {
-  if (StoreFailing || updateSince(Mirror, after).Page.Items.size() > 0)
+                              StorePosition after) {
+  if (after.Era > Mirror.KnownRevision.Era)
+    OnEra(after.Era);
+  if (StoreFailing || hasNews(after))
     respond(request, after);
   else
     Followers.push_back({request, after, monoNow() + FollowerWait});
 }
 
+bool StoreSync::hasNews(StorePosition after) const {
+  // A follower of a newer era waits until this mirror has entered that era.
+  if (after.Era > Mirror.KnownRevision.Era)
+    return false;
+  MirrorUpdate update = updateSince(Mirror, after);
+  return update.Snapshot || !update.Page.Items.empty();
+}
+
 void StoreSync::answerFollowers() {
   auto waiting = std::move(Followers);
   Followers.clear();
   for (Follower &it : waiting) {
-    if (StoreFailing || !updateSince(Mirror, it.After).Page.Items.empty())
+    if (StoreFailing || hasNews(it.After))
       respond(it.Request, it.After);
     else
       Followers.push_back(std::move(it));
@@ -205,8 +265,6 @@
     return;
   NeedsList = false;
   OnChanged(applySnapshot(Mirror, page));
-  Mirror.RemovalsSince = page.StoreRevision;
-  Mirror.Removals.clear();
 }
 
 } // namespace savorylb
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -41,13 +41,21 @@
     PreferredWatchers = std::move(watchers);
   }
 
+  /// Receives the era of each answer of the store or of a watcher.
+  using EraCallback = std::function<void(StoreEra)>;
+  void reportEras(EraCallback report) { OnEra = std::move(report); }
+
+  /// Lists the documents again, without waiting for the call in progress, if
+  /// the mirror is of an older era.
+  void enterEra(StoreEra era);
+
   /// Lists the documents, then watches for changes.
   void start() { list(""); }
 
   /// Responds to a VM that follows this mirror, as soon as the mirror has
   /// changes after the given revision.
   void serveFollower(const std::shared_ptr<ServedRequest> &request,
-                     Revision after);
+                     StorePosition after);
 
   /// Responds to followers whose wait has expired.
   void expireFollowers();
@@ -59,13 +67,17 @@
 
 private:
   void list(const std::string &after);
+  void onListPage(const platform::StorePage &page, bool first);
+  bool isNewEra(const Result<HttpMessage> &response);
   void watch();
   void watchStore();
   void followWatcher(const std::string &address);
   void onWatcherUpdate(const std::string &address,
                        const Result<HttpMessage> &response);
   void answerFollowers();
-  void respond(const std::shared_ptr<ServedRequest> &request, Revision after);
+  void respond(const std::shared_ptr<ServedRequest> &request,
+               StorePosition after);
+  bool hasNews(StorePosition after) const;
   void schedule(Duration pause, const std::function<void()> &next);
   void onFailure(const Error &error);
 
@@ -76,9 +88,14 @@
   Duration WatchPause;
   ChangeCallback OnChanged;
   ContactCallback OnContact;
+  EraCallback OnEra;
   platform::StorePage PendingList;
   /// The documents must be listed before changes can be watched.
   bool NeedsList = true;
+  /// A list is in progress.
+  bool Listing = false;
+  /// Incremented to discard the step that the timer will run.
+  std::uint64_t StepGeneration = 0;
   bool StoreFailing = false;
   WatcherSource PreferredWatchers;
   std::string WatcherAddress;
@@ -86,7 +103,7 @@
   WatcherSelection Selection;
   struct Follower {
     std::shared_ptr<ServedRequest> Request;
-    Revision After;
+    StorePosition After;
     MonoTime Until{};
   };
   std::vector<Follower> Followers;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -149,6 +149,8 @@
                                       {"zone", Settings.Zone.Value},
                                       {"address", Settings.CallerAddress}});
   StoreAnsweredAt = monoNow();
+  for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
+    it->reportEras([this](StoreEra era) { onStoreEra(era); });
   OperatorSync.start();
   TargetSync.start();
   SystemSync.start();
@@ -207,16 +209,22 @@
 }
 
 void VmDaemon::servePeer(const std::shared_ptr<ServedRequest> &request) {
-  // The path has the form /news/REVISION/PREFIX.
   const std::string &path = request->Message.Path;
+  if (path == "/config" && !ConfigText.empty()) {
+    request->Respond(jsonResponse(200, ConfigText));
+    return;
+  }
+  // The other path has the form /news/REVISION@ERA/PREFIX.
   const std::string start = "/news/";
   std::size_t slash = path.find('/', start.size());
   if (path.compare(0, start.size(), start) == 0 && slash != std::string::npos) {
-    Revision after(std::atoll(path.c_str() + start.size()));
+    std::string after = path.substr(start.size(), slash - start.size());
     for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
       if (path.substr(slash + 1) == it->mirror().Prefix &&
-          it->mirror().KnownRevision.Value > 0) {
-        it->serveFollower(request, after);
+          isListed(it->mirror())) {
+        // An earlier build sends no era, and does not know of eras.
+        it->serveFollower(request,
+                          readPosition(after, it->mirror().KnownRevision.Era));
         return;
       }
   }
@@ -247,7 +255,7 @@
     WasReady = ready();
     if (WasReady)
       logEvent(EventCode::DaemonReady,
-               {{"revision", State.DocumentsRevision.Value},
+               {{"revision", State.DocumentsRevision.Number.Value},
                 {"targets", static_cast<std::int64_t>(State.Targets.size())}});
   }
   for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
@@ -278,12 +286,17 @@
     MonoTime &written = RolloutWrittenAt[it.Service];
     if (now - written < RolloutWriteInterval)
       continue;
+    StorePosition replaced = it.ReplacedRevision;
+    if (replaced.Number.Value == 0)
+      replaced.Era = SystemSync.mirror().KnownRevision.Era;
+    if (replaced.Era < Era)
+      continue; // The statuses of the new era are not known yet.
     written = now;
     platform::StorePut put;
     put.Key = platform::rolloutStatusKey(it.Service);
     put.Value = platform::writeRolloutStatus(it.State, it.Version);
     put.Conditional = true;
-    put.ExpectedRevision = it.ReplacedRevision;
+    put.ExpectedRevision = replaced;
     Registration.write(put);
   }
 }
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -41,12 +41,24 @@
   void onTargetChanges(const std::vector<platform::StoreItem> &changes);
   void onSystemChanges(const std::vector<platform::StoreItem> &changes);
   void removeTarget(const TargetId &target, const char *reason);
+  void onVmEntry(const platform::StoreItem &item, const VmId &vm);
+  void onRolloutStatus(const platform::StoreItem &item,
+                       const ServiceId &service);
+  bool activateConfig(const std::string &text, const std::string &key,
+                      Revision revision);
   void onStoreContact(bool answered);
 
+  void onStoreEra(StoreEra era);
+  void logNewEra();
+
   void tick();
   void applyPendingRemovals(MonoTime now);
   void writeRolloutStatuses(MonoTime now);
   void fetchFromPeer(MonoTime now);
+  VmEntry peerWithNewerDocuments(bool storeSilent, MonoTime now) const;
+  VmEntry peerWithNewerConfig(MonoTime now) const;
+  void fetchDocuments(const std::string &peer, bool fetchTargets);
+  void fetchConfig(const std::string &peer);
   void adoptFromPeer(const std::string &peer, const std::string &prefix,
                      const Result<HttpMessage> &response);
   void waitForSignal();
@@ -92,6 +104,13 @@
   /// its entry must reappear.
   std::map<TargetId, MonoTime> PendingRemovals;
   std::map<ServiceId, MonoTime> RolloutWrittenAt;
+  /// Content of the active configuration, for other VMs.
+  std::string ConfigText;
+  /// Highest era that the store or another VM has shown.
+  StoreEra Era;
+  /// Revision of the operators' documents before a new era, until their first
+  /// list in that era.
+  std::optional<StorePosition> KnownBeforeEra;
 };
 
 } // namespace savorylb
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -10,13 +10,6 @@
 namespace savorylb {
 namespace {
 
-/// Documents are fetched from another VM if it reports a newer revision, or if
-/// the last call to the store failed and the store has not answered for
-/// PeerFetchDelay.
-constexpr Duration PeerFetchDelay = Millis(1500);
-/// Shortest time between the starts of two fetches.
-constexpr Duration PeerFetchInterval = Millis(700);
-
 /// Live targets restore their entries within this time after the store is
 /// back.
 constexpr Duration LeaseLapseGrace = Millis(2300);
@@ -28,6 +21,7 @@
 
 void VmDaemon::onOperatorChanges(
     const std::vector<platform::StoreItem> &changes) {
+  logNewEra();
   for (const platform::StoreItem &it : changes)
     onOperatorChange(it);
 }
@@ -53,21 +47,28 @@
 void VmDaemon::onConfig(const platform::StoreItem &item) {
   if (item.Removed)
     return;
-  auto config = platform::readConfig(item.Value);
+  activateConfig(item.Value, item.Key, item.ModRevision.Number);
+}
+
+bool VmDaemon::activateConfig(const std::string &text, const std::string &key,
+                              Revision revision) {
+  auto config = platform::readConfig(text);
   if (!config) {
     logEvent(EventCode::DocumentRejected,
-             {{"key", item.Key},
-              {"revision", item.ModRevision.Value},
+             {{"key", key},
+              {"revision", revision.Value},
               {"findings", config.error().Message}});
-    return;
+    return false;
   }
   if (!applyConfig(State, config.value()))
-    return;
+    return false;
+  ConfigText = text;
   const CallerLimits &limits = State.Config->Limits;
   Callers.setLimits({limits.MaxHeaderBytes, limits.MaxBodyBytes,
                      limits.HeaderTimeout, limits.IdleTimeout});
-  logEvent(EventCode::ConfigActivated, {{"version", State.Config->Version},
-                                        {"revision", item.ModRevision.Value}});
+  logEvent(EventCode::ConfigActivated,
+           {{"version", State.Config->Version}, {"revision", revision.Value}});
+  return true;
 }
 
 void VmDaemon::onRolloutOrder(const platform::StoreItem &item,
@@ -98,8 +99,9 @@
     logEvent(EventCode::EvacuationEnded, {{"zone", zone.Value}});
   } else {
     startEvacuation(State, zone);
-    logEvent(EventCode::EvacuationStarted,
-             {{"zone", zone.Value}, {"revision", item.ModRevision.Value}});
+    logEvent(
+        EventCode::EvacuationStarted,
+        {{"zone", zone.Value}, {"revision", item.ModRevision.Number.Value}});
   }
 }
 
@@ -169,37 +171,45 @@
     const std::vector<platform::StoreItem> &changes) {
   for (const platform::StoreItem &it : changes) {
     platform::StoreKey key = platform::parseStoreKey(it.Key);
-    if (key.Kind == platform::DocumentKind::Vm) {
-      VmId vm(key.Subject);
-      if (vm == State.Fleet.Self.Vm)
-        continue;
-      auto entry =
-          it.Removed ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
-                     : readVmEntry(it.Value);
-      if (entry) {
-        State.Fleet.Registered[vm] = entry.value();
-        logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
-      } else {
-        State.Fleet.Registered.erase(vm);
-        logEvent(EventCode::PeerDown,
-                 {{"peer", vm.Value}, {"reason", entry.error().Message}});
-      }
-    } else if (key.Kind == platform::DocumentKind::RolloutStatus &&
-               !it.Removed) {
-      auto status = platform::readRolloutStatus(it.Value);
-      if (!status) {
-        logEvent(EventCode::DocumentRejected,
-                 {{"key", it.Key}, {"findings", status.error().Message}});
-        continue;
-      }
-      status.value().StatusRevision = it.ModRevision;
-      applyRolloutStatus(State, ServiceId(key.Subject), status.value());
-      logEvent(EventCode::RolloutStepped,
-               {{"service", key.Subject}, {"status", it.Value}});
-    }
+    if (key.Kind == platform::DocumentKind::Vm)
+      onVmEntry(it, VmId(key.Subject));
+    else if (key.Kind == platform::DocumentKind::RolloutStatus)
+      onRolloutStatus(it, ServiceId(key.Subject));
   }
 }
 
+void VmDaemon::onVmEntry(const platform::StoreItem &item, const VmId &vm) {
+  if (vm == State.Fleet.Self.Vm)
+    return;
+  auto entry = item.Removed
+                   ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
+                   : readVmEntry(item.Value);
+  if (entry) {
+    State.Fleet.Registered[vm] = entry.value();
+    logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
+    return;
+  }
+  State.Fleet.Registered.erase(vm);
+  logEvent(EventCode::PeerDown,
+           {{"peer", vm.Value}, {"reason", entry.error().Message}});
+}
+
+void VmDaemon::onRolloutStatus(const platform::StoreItem &item,
+                               const ServiceId &service) {
+  if (item.Removed)
+    return;
+  auto status = platform::readRolloutStatus(item.Value);
+  if (!status) {
+    logEvent(EventCode::DocumentRejected,
+             {{"key", item.Key}, {"findings", status.error().Message}});
+    return;
+  }
+  status.value().StatusRevision = item.ModRevision;
+  applyRolloutStatus(State, service, status.value());
+  logEvent(EventCode::RolloutStepped,
+           {{"service", service.Value}, {"status", item.Value}});
+}
+
 void VmDaemon::applyPendingRemovals(MonoTime now) {
   // Live targets cannot restore their entries while the store fails.
   if (now - StoreFailedAt < LeaseLapseGrace)
@@ -214,73 +224,4 @@
   }
 }
 
-void VmDaemon::fetchFromPeer(MonoTime now) {
-  bool storeSilent =
-      StoreFailedAt > StoreAnsweredAt && now - StoreAnsweredAt > PeerFetchDelay;
-  VmEntry chosen;
-  for (const auto &[vm, peer] : State.Fleet.Peers) {
-    if (now - peer.ReceivedAt > PeerTimeout)
-      continue;
-    bool newer = peer.Report.DocumentsRevision > State.DocumentsRevision;
-    if (newer || (storeSilent && chosen.Vm.empty()))
-      chosen = peer.Report.Vm;
-    if (newer)
-      break;
-  }
-  // A pending fetch delays the next one by at most 2 s.
-  if (chosen.Vm.empty() ||
-      (PeerFetchPending && now - PeerFetchStartedAt < Seconds(2)) ||
-      now - PeerFetchStartedAt < PeerFetchInterval)
-    return;
-  PeerFetchPending = true;
-  PeerFetchStartedAt = now;
-  PeerChannel =
-      std::make_unique<HttpChannel>(Io.get_executor(), chosen.PeerAddress);
-  HttpMessage request;
-  request.Method = "GET";
-  request.Path = std::string("/news/0/") + platform::OperatorPrefix;
-  std::string peer = chosen.Vm.Value;
-  bool fetchTargets = storeSilent;
-  PeerChannel->call(
-      request, Seconds(1), // Limit for the response.
-      [this, peer, fetchTargets](const Result<HttpMessage> &response) {
-        PeerFetchPending = false;
-        adoptFromPeer(peer, platform::OperatorPrefix, response);
-        if (!fetchTargets || !response)
-          return;
-        HttpMessage more;
-        more.Method = "GET";
-        more.Path = std::string("/news/0/") + platform::TargetPrefix;
-        // 1 s is the limit for the response.
-        PeerChannel->call(more, Seconds(1),
-                          [this, peer](const Result<HttpMessage> &answer) {
-                            adoptFromPeer(peer, platform::TargetPrefix, answer);
-                          });
-      });
-}
-
-void VmDaemon::adoptFromPeer(const std::string &peer, const std::string &prefix,
-                             const Result<HttpMessage> &response) {
-  if (!response || response.value().Status != 200) {
-    incrementCounter(
-        "peer_documents_failed"); // A later round fetches them again.
-    return;
-  }
-  auto update = readMirrorUpdate(response.value().Body);
-  if (!update) {
-    logEvent(EventCode::DocumentRejected,
-             {{"key", prefix}, {"findings", update.error().Message}});
-    return;
-  }
-  StoreSync &sync =
-      prefix == platform::OperatorPrefix ? OperatorSync : TargetSync;
-  if (update.value().Page.StoreRevision <= sync.mirror().KnownRevision)
-    return;
-  sync.adopt(update.value().Page);
-  logEvent(EventCode::PeerDocumentsAdopted,
-           {{"prefix", prefix},
-            {"peer", peer},
-            {"revision", update.value().Page.StoreRevision.Value}});
-}
-
 } // namespace savorylb
