Register again when the store has lost the lease

Cause: the leases since the copy are lost and their ids are given out again. A VM that renewed a lease which now belonged to another client got 200 and took its entry for present.

Change: a lease belongs to the era in which it was granted. When any answer of the store shows a higher era, VmRegistration drops the lease, acquires another and writes the entry again. Queued writes whose condition was computed in an older era are dropped, since a revision that was given out again could fulfil it; they are computed anew.

--- a/src/savoryvm/store_restore_test.cpp
+++ b/src/savoryvm/store_restore_test.cpp
@@ -45,6 +45,17 @@
          fixture.call(3, CallerRequest()).Status == 401;
 }
 
+bool namesBothVms(VmFixture &fixture, int n) {
+  CallerRequest request;
+  request.Path = "/resolve?name=maps.example&region=tema&zone=tema-a";
+  std::string body;
+  callVm(fixture.Io, fixture.Platform.lookupAddress(n), request,
+         [&](const CallerResult &it) { body = it.Body + " "; });
+  fixture.waitUntil([&] { return !body.empty(); });
+  return body.find(fixture.Platform.callerAddress(2)) != std::string::npos &&
+         body.find(fixture.Platform.callerAddress(3)) != std::string::npos;
+}
+
 } // namespace
 
 TEST_GROUP(StoreRestore){};
@@ -98,3 +109,35 @@
       ConfigApply));
   LONGS_EQUAL(401, fixture.call(2, CallerRequest()).Status);
 }
+
+// Guards against a VM without an entry that renews a lease of another's.
+TEST(StoreRestore, VmsRegisterAgain) {
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.Platform.Store.takeCopy();
+  startTwoVms(fixture);
+  CHECK_TRUE(fixture.waitUntil(
+      [&] { return namesBothVms(fixture, 2) && namesBothVms(fixture, 3); }));
+  // Another client is granted the ids of the lost leases.
+  HttpChannel other(fixture.Io.get_executor(), fixture.Platform.storeAddress());
+  int granted = 0;
+  loseWrites(fixture, [] {});
+  std::function<void(const Result<HttpMessage> &)> grantNext;
+  grantNext = [&](const Result<HttpMessage> &) {
+    if (++granted <= 3)
+      other.call(platform::grantLeaseRequest(Seconds(60)), Seconds(1),
+                 grantNext);
+  };
+  grantNext(HttpMessage());
+  auto registered = [&] {
+    return !fixture.Platform.Store.get("status/vm/vm-2").empty() &&
+           !fixture.Platform.Store.get("status/vm/vm-3").empty();
+  };
+  CHECK_TRUE(fixture.waitUntil(registered, Millis(1500)));
+  LONGS_EQUAL(4, granted);
+  for (int i = 0; i < 20; ++i) {
+    runFor(fixture, Millis(150));
+    CHECK_TRUE(registered());
+    CHECK_TRUE(namesBothVms(fixture, 2) && namesBothVms(fixture, 3));
+  }
+}
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -151,6 +151,7 @@
   StoreAnsweredAt = monoNow();
   for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
     it->reportEras([this](StoreEra era) { onStoreEra(era); });
+  Registration.reportEras([this](StoreEra era) { onStoreEra(era); });
   OperatorSync.start();
   TargetSync.start();
   SystemSync.start();
--- a/src/savoryvm/vm_registration.cpp
+++ b/src/savoryvm/vm_registration.cpp
@@ -55,13 +55,53 @@
   }
 }
 
+void VmRegistration::noteEra(const Result<HttpMessage> &response) {
+  if (!response)
+    return;
+  StoreEra era = platform::readStoreEra(response.value());
+  if (era > Era) {
+    Era = era;
+    dropOutdated();
+  }
+  OnEra(era);
+}
+
+void VmRegistration::enterEra(StoreEra era) {
+  if (era <= Era)
+    return;
+  Era = era;
+  dropOutdated();
+  if (!Busy && !Stopping) {
+    Timer.cancel();
+    step();
+  }
+}
+
+void VmRegistration::dropOutdated() {
+  if (Lease != 0 && LeaseEra < Era) {
+    logEvent(EventCode::LeaseLost, {{"key", Key}, {"era", Era.Value}});
+    Lease = 0;
+    EntryWritten = false;
+  }
+  PendingWrites.erase(std::remove_if(PendingWrites.begin(), PendingWrites.end(),
+                                     [&](const platform::StorePut &it) {
+                                       return it.ExpectedRevision.Era < Era;
+                                     }),
+                      PendingWrites.end());
+}
+
 void VmRegistration::acquireLease() {
   Channel.call(platform::grantLeaseRequest(LeaseTtl), CallTimeout,
                [this](const Result<HttpMessage> &response) {
-                 if (response) {
+                 noteEra(response);
+                 // A late answer of an older era grants a lease that is lost.
+                 if (response &&
+                     platform::readStoreEra(response.value()) == Era) {
                    auto lease = platform::readLease(response.value());
-                   if (lease)
+                   if (lease) {
                      Lease = lease.value().Id;
+                     LeaseEra = Era;
+                   }
                  }
                  scheduleNext(Lease ? Duration(0) : RetryPause);
                });
@@ -73,8 +113,9 @@
   put.Value = Value;
   put.Lease = Lease;
   Channel.call(platform::putRequest(put), CallTimeout,
-               [this](const Result<HttpMessage> &response) {
-                 if (response) {
+               [this, lease = Lease](const Result<HttpMessage> &response) {
+                 noteEra(response);
+                 if (response && Lease == lease) {
                    auto revision = platform::readPutRevision(response.value());
                    EntryWritten = revision.has_value();
                    if (!revision &&
@@ -87,9 +128,10 @@
 
 void VmRegistration::renewLease() {
   Channel.call(platform::renewLeaseRequest(Lease), CallTimeout,
-               [this](const Result<HttpMessage> &response) {
+               [this, id = Lease](const Result<HttpMessage> &response) {
+                 noteEra(response);
                  bool renewed = false;
-                 if (response) {
+                 if (response && Lease == id) {
                    auto lease = platform::readLease(response.value());
                    renewed = lease.has_value();
                    if (!lease && lease.error().Code == ErrorCode::NotFound) {
@@ -98,7 +140,9 @@
                      EntryWritten = false;
                    }
                  }
-                 scheduleNext(renewed ? RenewInterval : RetryPause);
+                 // A lease that is known to be lost is replaced at once.
+                 Duration pause = renewed ? RenewInterval : RetryPause;
+                 scheduleNext(Lease == 0 && response ? Duration(0) : pause);
                });
 }
 
@@ -107,6 +151,7 @@
   PendingWrites.pop_front();
   Channel.call(platform::putRequest(put), CallTimeout,
                [this, put](const Result<HttpMessage> &response) {
+                 noteEra(response);
                  std::string outcome = "written";
                  if (!response) {
                    outcome = response.error().Message;
@@ -123,6 +168,8 @@
 }
 
 void VmRegistration::write(platform::StorePut put) {
+  if (put.ExpectedRevision.Era < Era)
+    return;
   // A queued write to the same key is outdated.
   PendingWrites.erase(std::remove_if(PendingWrites.begin(), PendingWrites.end(),
                                      [&](const platform::StorePut &it) {
--- a/src/savoryvm/vm_registration.h
+++ b/src/savoryvm/vm_registration.h
@@ -26,12 +26,23 @@
   void stop();
 
   /// Queues a write, which replaces a queued write to the same key. It is sent
-  /// once, and is dropped when it fails or its condition does not hold.
+  /// once, and is dropped when it fails, when its condition does not hold or
+  /// when the condition was computed in an older era.
   void write(platform::StorePut put);
 
+  /// Receives the era of each answer of the store.
+  using EraCallback = std::function<void(StoreEra)>;
+  void reportEras(EraCallback report) { OnEra = std::move(report); }
+
+  /// Acquires a new lease and writes the entry again if the lease is of an
+  /// older era: the store has lost it and may give its id to another VM.
+  void enterEra(StoreEra era);
+
 private:
   void step();
   void scheduleNext(Duration pause);
+  void noteEra(const Result<HttpMessage> &response);
+  void dropOutdated();
   void acquireLease();
   void putEntry();
   void renewLease();
@@ -43,6 +54,10 @@
   std::string Value;
   Millis LeaseTtl;
   std::int64_t Lease = 0;
+  StoreEra LeaseEra;
+  /// The highest era that is known.
+  StoreEra Era;
+  EraCallback OnEra;
   bool EntryWritten = false;
   bool Stopping = false;
   bool Busy = false;
--- a/src/savoryvm/vm_restore.cpp
+++ b/src/savoryvm/vm_restore.cpp
@@ -15,6 +15,7 @@
   asio::post(Io, [this, era] {
     for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
       it->enterEra(era);
+    Registration.enterEra(era);
   });
 }
 
