Keep what VMs know when the restored store shows less

What callers saw: after the store came back from an older copy, requests went to an evacuated zone (EVAC) and to targets that drained or had left (DRAIN).

Cause: the list of the new era replaced newer knowledge by the copy's older entries. Operators and instances write again what was lost, but only after some seconds.

TargetMissingFromTheCopyIsKeptForAWhile passes before and after, since the restore is also a failure of the store, which starts the same grace.

Change: documents of the first list of a new era, and only those, are compared with what is known. Evacuations and rollout orders that it lacks hold for 4 s unless they are written again; a removal that the store reports counts at once. The grace for missing targets also starts with a new era, and VMs that the list lacks stay in lookups for the same time, until they have registered again. An entry of a target is ignored when its start is known with a newer sequence, or has ended: starts that ended in the last minute are remembered, at most 1024. So is the last start of each VM that has left.

--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -49,6 +49,7 @@
   ConfigActivated = 4011,
   PeerDocumentsAdopted = 4012,
   StoreRestored = 4013,
+  DocumentOutdated = 4014,
   // Rollouts.
   RolloutStepped = 5001,
   RolloutStopped = 5002,
--- a/src/libsavoryobserve/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -16,6 +16,8 @@
     return "peer_documents_adopted";
   case EventCode::StoreRestored:
     return "store_restored";
+  case EventCode::DocumentOutdated:
+    return "document_outdated";
   case EventCode::RolloutOrdered:
     return "rollout_ordered";
   case EventCode::EvacuationStarted:
--- a/src/libsavorysteer/target_entry.h
+++ b/src/libsavorysteer/target_entry.h
@@ -19,8 +19,9 @@
   bool Draining = false;
   /// Remaining time of the warm-up.
   Millis WarmupLeft{0};
-  /// Increases with each report of one process start. Not used to order
-  /// entries; the store's revision does that.
+  /// Increases with each report of one process start. The store's revision
+  /// orders entries, except those that the store shows after it came back from
+  /// an older copy; see isOutdated().
   std::int64_t Sequence = 0;
   /// Distinguishes the process starts under one id; not to be used as a time.
   std::int64_t StartId = 0;
--- a/src/savoryvm/store_restore_test.cpp
+++ b/src/savoryvm/store_restore_test.cpp
@@ -56,6 +56,18 @@
          body.find(fixture.Platform.callerAddress(3)) != std::string::npos;
 }
 
+/// Sends requests for different objects.
+/// \returns how many of them the target ran.
+std::size_t runsAt(VmFixture &fixture, PlatformTarget &target, int requests) {
+  target.Runs.clear();
+  for (int i = 0; i < requests; ++i) {
+    CallerRequest request;
+    request.AffinityKey = std::to_string(++fixture.Attempts);
+    LONGS_EQUAL(200, fixture.call(2, request).Status);
+  }
+  return target.Runs.size();
+}
+
 } // namespace
 
 TEST_GROUP(StoreRestore){};
@@ -110,6 +122,74 @@
   LONGS_EQUAL(401, fixture.call(2, CallerRequest()).Status);
 }
 
+// Guards against sending to an evacuated zone that the copy does not show.
+TEST(StoreRestore, LostEvacuationHoldsUntilItIsWrittenAgain) {
+  VmFixture fixture;
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.Platform.addTarget("tiles", "tema-b");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  CHECK_TRUE(runsAt(fixture, target, 20) > 0);
+  fixture.Platform.Store.takeCopy();
+  fixture.Platform.Store.put("op/evacuate/tema-a", "{}");
+  runFor(fixture, Millis(1000));
+  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  loseWrites(fixture, [] {});
+  runFor(fixture, Millis(2000));
+  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  fixture.Platform.Store.put("op/evacuate/tema-a", "{}");
+  runFor(fixture, Millis(3500));
+  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  fixture.Platform.Store.remove("op/evacuate/tema-a");
+  // The zone's targets are cold for 3 s.
+  CHECK_TRUE(
+      fixture.waitUntil([&] { return runsAt(fixture, target, 20) > 0; }));
+}
+
+// Guards against using a target that drains or has left by its older entry.
+TEST(StoreRestore, DrainedAndRemovedTargetsAreNotUsed) {
+  VmFixture fixture;
+  PlatformTarget &drained = fixture.Platform.addTarget("tiles", "tema-a");
+  PlatformTarget &removed = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  CHECK_TRUE(runsAt(fixture, drained, 20) > 0);
+  CHECK_TRUE(runsAt(fixture, removed, 20) > 0);
+  fixture.Platform.Store.takeCopy();
+  drained.registerEntry("draining");
+  removed.removeEntry();
+  runFor(fixture, Millis(1500));
+  LONGS_EQUAL(0, runsAt(fixture, drained, 20));
+  LONGS_EQUAL(0, runsAt(fixture, removed, 20));
+  loseWrites(fixture, [] {});
+  runFor(fixture, Millis(1500));
+  LONGS_EQUAL(0, runsAt(fixture, drained, 20));
+  LONGS_EQUAL(0, runsAt(fixture, removed, 20));
+  // A newer entry of the same start is taken.
+  removed.registerEntry();
+  removed.registerEntry();
+  CHECK_TRUE(fixture.waitUntil([&] { return runsAt(fixture, removed, 20) > 0; },
+                               Millis(1500)));
+}
+
+// Guards against dropping a live target that the copy lacks.
+TEST(StoreRestore, TargetMissingFromTheCopyIsKeptForAWhile) {
+  VmFixture fixture;
+  fixture.addVm(2);
+  fixture.Platform.Store.takeCopy();
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.waitReady(2);
+  CHECK_TRUE(fixture.waitUntil(
+      [&] { return fixture.call(2, CallerRequest()).Status == 200; }));
+  loseWrites(fixture, [] {});
+  runFor(fixture, Millis(1800));
+  LONGS_EQUAL(200, fixture.call(2, CallerRequest()).Status);
+  target.registerEntry();
+  runFor(fixture, Millis(2500));
+  LONGS_EQUAL(200, fixture.call(2, CallerRequest()).Status);
+}
+
 // Guards against a VM without an entry that renews a lease of another's.
 TEST(StoreRestore, VmsRegisterAgain) {
   VmFixture fixture;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -262,6 +262,7 @@
   for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
     it->expireFollowers();
   applyPendingRemovals(now);
+  applyHeldDocuments(now);
   writeRolloutStatuses(now);
   fetchFromPeer(now);
   Link.sendTeamReports();
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -5,6 +5,7 @@
 #include "peer_link.h"
 #include "steering_state.h"
 #include "store_sync.h"
+#include "target_history.h"
 #include "target_pool.h"
 #include "vm_registration.h"
 #include "vm_settings.h"
@@ -14,6 +15,10 @@
 
 namespace savorylb {
 
+/// Live targets restore their entries within this time after the store is
+/// back.
+constexpr Duration LeaseLapseGrace = Millis(2300);
+
 /// The savoryvm daemon, for VMs whose store, targets and settings a hosting
 /// platform provides: its steering state, its servers and its connections to
 /// the store and to other VMs.
@@ -50,6 +55,12 @@
 
   void onStoreEra(StoreEra era);
   void logNewEra();
+  bool holdDocument(const platform::StoreItem &item);
+  bool isOutdatedTarget(const platform::StoreItem &item,
+                        const TargetEntry &entry, MonoTime now) const;
+  bool isOutdatedVm(const platform::StoreItem &item, const VmEntry &entry,
+                    MonoTime now) const;
+  void applyHeldDocuments(MonoTime now);
 
   void tick();
   void applyPendingRemovals(MonoTime now);
@@ -100,17 +111,28 @@
   bool WasReady = false;
   bool TargetsListed = false;
   /// Targets whose entries were removed in a mass removal or within
-  /// LeaseLapseGrace after a failure of the store, each with the time by which
-  /// its entry must reappear.
+  /// LeaseLapseGrace after a failure of the store or a new era, each with the
+  /// time by which its entry must reappear.
   std::map<TargetId, MonoTime> PendingRemovals;
   std::map<ServiceId, MonoTime> RolloutWrittenAt;
   /// Content of the active configuration, for other VMs.
   std::string ConfigText;
   /// Highest era that the store or another VM has shown.
   StoreEra Era;
+  MonoTime EraEnteredAt{};
   /// Revision of the operators' documents before a new era, until their first
   /// list in that era.
   std::optional<StorePosition> KnownBeforeEra;
+  /// A change that is not applied before its time, in case the lost document is
+  /// written again.
+  struct HeldDocument {
+    platform::StoreItem Item;
+    MonoTime Until{};
+  };
+  std::map<std::string, HeldDocument> HeldDocuments;
+  TargetHistory EndedStarts;
+  /// StartId of VMs whose entries were removed.
+  std::map<VmId, std::string> DepartedVms;
 };
 
 } // namespace savorylb
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -10,9 +10,6 @@
 namespace savorylb {
 namespace {
 
-/// Live targets restore their entries within this time after the store is
-/// back.
-constexpr Duration LeaseLapseGrace = Millis(2300);
 /// If more than this fraction of all targets disappears in one update, their
 /// leases are assumed to have lapsed in an outage of the store.
 constexpr double LeaseLapseFraction = 0.4;
@@ -23,7 +20,8 @@
     const std::vector<platform::StoreItem> &changes) {
   logNewEra();
   for (const platform::StoreItem &it : changes)
-    onOperatorChange(it);
+    if (!holdDocument(it))
+      onOperatorChange(it);
 }
 
 void VmDaemon::onOperatorChange(const platform::StoreItem &item) {
@@ -108,6 +106,9 @@
 void VmDaemon::removeTarget(const TargetId &target, const char *reason) {
   logEvent(EventCode::TargetDown,
            {{"target", target.Value}, {"reason", std::string(reason)}});
+  auto known = State.Targets.find(target);
+  if (known != State.Targets.end())
+    recordDeparture(EndedStarts, known->second.Entry, monoNow());
   eraseTarget(State, target);
   Pool.drop(target);
 }
@@ -127,17 +128,22 @@
     if (it.Removed) {
       if (!State.Targets.count(id))
         continue;
-      // The grace time starts now for a mass removal, and otherwise at the last
-      // failure of the store.
-      MonoTime graceStart = leasesLapsed ? now : StoreFailedAt;
+      // The grace time starts now for a mass removal and for entries that a
+      // restored store lacks, and otherwise at the last failure of the store or
+      // at its restore.
+      MonoTime graceStart = leasesLapsed || it.FromCopy
+                                ? now
+                                : std::max(StoreFailedAt, EraEnteredAt);
       if (now - graceStart < LeaseLapseGrace)
         PendingRemovals.emplace(id, graceStart + LeaseLapseGrace);
       else
         removeTarget(id, "entry-removed");
       continue;
     }
-    PendingRemovals.erase(id);
     auto entry = platform::readTarget(id, it.Value);
+    if (entry && isOutdatedTarget(it, entry.value(), now))
+      continue;
+    PendingRemovals.erase(id);
     if (!entry) {
       logEvent(EventCode::TargetRejected,
                {{"target", id.Value}, {"reason", entry.error().Message}});
@@ -147,12 +153,17 @@
     }
     auto known = State.Targets.find(id);
     bool added = known == State.Targets.end();
+    if (it.FromCopy && !added &&
+        isSameReport(known->second.Entry, entry.value()))
+      continue; // Applying it again would extend the warm-up.
     bool left =
         !added && !known->second.Entry.Draining && entry.value().Draining;
     bool restarted =
         !added && known->second.Entry.StartId != entry.value().StartId;
-    if (restarted)
+    if (restarted) {
+      recordRestart(EndedStarts, known->second.Entry, now);
       Pool.drop(id);
+    }
     updateTarget(State, entry.value(), now);
     if (added || restarted)
       logEvent(EventCode::TargetUp,
@@ -170,6 +181,8 @@
 void VmDaemon::onSystemChanges(
     const std::vector<platform::StoreItem> &changes) {
   for (const platform::StoreItem &it : changes) {
+    if (holdDocument(it))
+      continue;
     platform::StoreKey key = platform::parseStoreKey(it.Key);
     if (key.Kind == platform::DocumentKind::Vm)
       onVmEntry(it, VmId(key.Subject));
@@ -185,11 +198,18 @@
                    ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
                    : readVmEntry(item.Value);
   if (entry) {
+    if (isOutdatedVm(item, entry.value(), monoNow()))
+      return;
+    DepartedVms.erase(vm);
     State.Fleet.Registered[vm] = entry.value();
     logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
     return;
   }
-  State.Fleet.Registered.erase(vm);
+  auto known = State.Fleet.Registered.find(vm);
+  if (known != State.Fleet.Registered.end()) {
+    DepartedVms[vm] = known->second.StartId;
+    State.Fleet.Registered.erase(known);
+  }
   logEvent(EventCode::PeerDown,
            {{"peer", vm.Value}, {"reason", entry.error().Message}});
 }
--- a/src/savoryvm/vm_restore.cpp
+++ b/src/savoryvm/vm_restore.cpp
@@ -1,15 +1,35 @@
 // The part of VmDaemon that handles a store that came back from an older copy
 // of itself.
+#include "documents.h"
+#include "savorylb/clock.h"
 #include "savorylb/event_log.h"
 #include "vm_daemon.h"
 
 namespace savorylb {
+namespace {
+
+/// Operators write lost documents again within about 3 s after the store is
+/// back. A VM may see the loss up to one second later than others.
+constexpr Duration OperatorRewriteGrace = Millis(4000);
+
+void logOutdated(const platform::StoreItem &item) {
+  logEvent(EventCode::DocumentOutdated,
+           {{"key", item.Key},
+            {"revision", item.ModRevision.Number.Value},
+            {"era", item.ModRevision.Era.Value},
+            {"removed", item.Removed}});
+}
+
+} // namespace
 
 void VmDaemon::onStoreEra(StoreEra era) {
   if (era <= Era)
     return;
-  if (isListed(OperatorSync.mirror()) && !KnownBeforeEra)
-    KnownBeforeEra = OperatorSync.mirror().KnownRevision;
+  if (isListed(OperatorSync.mirror())) {
+    EraEnteredAt = monoNow();
+    if (!KnownBeforeEra)
+      KnownBeforeEra = OperatorSync.mirror().KnownRevision;
+  }
   Era = era;
   // Deferred, since the caller has not processed its answer yet.
   asio::post(Io, [this, era] {
@@ -30,4 +50,79 @@
   KnownBeforeEra.reset();
 }
 
+bool VmDaemon::holdDocument(const platform::StoreItem &item) {
+  HeldDocuments.erase(item.Key);
+  if (!item.FromCopy)
+    return false;
+  platform::StoreKey key = platform::parseStoreKey(item.Key);
+  bool held = false;
+  Duration grace = OperatorRewriteGrace;
+  switch (key.Kind) {
+  case platform::DocumentKind::Evacuation:
+  case platform::DocumentKind::RolloutOrder:
+    held = item.Removed;
+    break;
+  case platform::DocumentKind::Vm:
+    // The VM registers again as soon as it sees the new era.
+    held = item.Removed;
+    grace = LeaseLapseGrace;
+    break;
+  default:
+    break;
+  }
+  if (!held)
+    return false;
+  logOutdated(item);
+  HeldDocuments[item.Key] = {item, monoNow() + grace};
+  HeldDocuments[item.Key].Item.FromCopy = false;
+  return true;
+}
+
+void VmDaemon::applyHeldDocuments(MonoTime now) {
+  // Nothing can be written again while the store fails.
+  if (now - StoreFailedAt < LeaseLapseGrace)
+    return;
+  for (auto it = HeldDocuments.begin(); it != HeldDocuments.end();) {
+    if (now < it->second.Until) {
+      ++it;
+      continue;
+    }
+    platform::StoreItem item = it->second.Item;
+    it = HeldDocuments.erase(it);
+    platform::StoreKey key = platform::parseStoreKey(item.Key);
+    if (key.Kind == platform::DocumentKind::Vm)
+      onVmEntry(item, VmId(key.Subject));
+    else
+      onOperatorChange(item);
+  }
+}
+
+bool VmDaemon::isOutdatedTarget(const platform::StoreItem &item,
+                                const TargetEntry &entry, MonoTime now) const {
+  if (!item.FromCopy)
+    return false;
+  auto known = State.Targets.find(entry.Id);
+  const TargetEntry *present =
+      known == State.Targets.end() ? nullptr : &known->second.Entry;
+  bool outdated = isOutdated(EndedStarts, present, entry, now);
+  if (outdated)
+    logOutdated(item);
+  return outdated;
+}
+
+bool VmDaemon::isOutdatedVm(const platform::StoreItem &item,
+                            const VmEntry &entry, MonoTime now) const {
+  auto departed = DepartedVms.find(entry.Vm);
+  if (!item.FromCopy || departed == DepartedVms.end() ||
+      departed->second != entry.StartId)
+    return false;
+  auto peer = State.Fleet.Peers.find(entry.Vm);
+  bool heard = peer != State.Fleet.Peers.end() &&
+               peer->second.Report.Vm.StartId == entry.StartId &&
+               now - peer->second.ReceivedAt <= PeerTimeout;
+  if (!heard)
+    logOutdated(item);
+  return !heard;
+}
+
 } // namespace savorylb
