Go on with a rollout when the store forgets its order or status

What callers saw: after the store came back from an older copy, a completed rollout ran again and requests went to the old version, whose targets may have stopped; a running one started anew, and the store kept an older status.

Cause: an order was known by its revision alone, and a status counted for an order when its revision was higher. Both change when the order is written again.

Change: an order of the same content in a new era, or written again within 5 s of it, is the known order; clock, evidence, verdict and status stay. Whether a status belongs to the order is recorded when it arrives. A status that goes back in a new era does not undo the known one, and reviewRollouts() returns the known one to be written again, conditional on the revision in the new era, once the order is back. An order of the copy that is older than the known one is held like a missing one.

--- a/src/libsavorysteer/rollout_review.cpp
+++ b/src/libsavorysteer/rollout_review.cpp
@@ -18,9 +18,21 @@
   return position;
 }
 
-/// \returns whether a status was written for the current order.
-bool statusWritten(const ServiceState &service) {
-  return service.Status.StatusRevision > service.Order->OrderRevision;
+/// \returns whether the status of the current order must be written again. The
+///          order itself must be back before.
+bool rewriteDue(const SteeringState &state, ServiceState &service,
+                Duration delay, MonoTime now) {
+  // Orders and statuses enter a new era independently.
+  StoreEra era = std::max(state.DocumentsRevision.Era,
+                          service.StoredStatus.StatusRevision.Era);
+  bool orderStored = service.Order && service.Order->OrderRevision.Era == era;
+  if (!orderStored || !service.StatusCoversOrder || !isStatusBehind(service)) {
+    service.StatusBehindSince.reset();
+    return false;
+  }
+  if (!service.StatusBehindSince)
+    service.StatusBehindSince = now;
+  return now - *service.StatusBehindSince >= delay;
 }
 
 RolloutState dueState(const ServiceState &service, Duration elapsed,
@@ -29,7 +41,7 @@
     return RolloutState::RolledBack;
   if (planRollout(elapsed - delay, service.Order->Window).Complete)
     return RolloutState::Completed;
-  if (!statusWritten(service) && elapsed >= delay)
+  if (!service.StatusCoversOrder && elapsed >= delay)
     return RolloutState::Running;
   return RolloutState::None;
 }
@@ -40,17 +52,24 @@
   std::vector<StatusChange> changes;
   Duration delay = writerPosition(state, now) * WriterDelay;
   for (auto &[id, service] : state.Services) {
-    if (!rolloutRuns(service))
+    bool rewrite = rewriteDue(state, service, delay, now);
+    if (!rolloutRuns(service)) {
+      if (rewrite)
+        changes.push_back({id, service.Status.State, service.Status.Version,
+                           service.StoredStatus.StatusRevision});
       continue;
+    }
     RolloutEvidence all = service.Evidence;
     addEvidence(all,
                 peerEvidence(state.Fleet, id, service.Order->OrderRevision));
     if (newVersionIsBad(all))
       service.NewVersionBad = true;
     RolloutState due = dueState(service, now - service.OrderedAt, delay);
+    if (due == RolloutState::None && rewrite)
+      due = service.Status.State;
     if (due != RolloutState::None)
-      changes.push_back(
-          {id, due, service.Order->Version, service.Status.StatusRevision});
+      changes.push_back({id, due, service.Order->Version,
+                         service.StoredStatus.StatusRevision});
   }
   return changes;
 }
--- a/src/libsavorysteer/steering_documents.cpp
+++ b/src/libsavorysteer/steering_documents.cpp
@@ -11,6 +11,41 @@
   return it == state.Zones.end() ? RegionId() : it->second;
 }
 
+/// Operators write lost documents again within this time after the store is
+/// back.
+constexpr Duration RewriteTime = Seconds(5);
+
+bool sameOrder(const RolloutOrder &a, const RolloutOrder &b) {
+  return a.Service == b.Service && a.Version == b.Version &&
+         a.Window == b.Window;
+}
+
+int rank(RolloutState state) {
+  return state == RolloutState::None      ? 0
+         : state == RolloutState::Running ? 1
+                                          : 2;
+}
+
+bool covers(const RolloutStatus &status, const RolloutOrder &order) {
+  if (status.StatusRevision.Era == order.OrderRevision.Era)
+    return status.StatusRevision > order.OrderRevision;
+  // Revisions of two eras cannot be compared.
+  return status.StatusRevision > order.OrderRevision &&
+         status.Version == order.Version;
+}
+
+/// \returns whether a status of a newer era would undo the known status.
+bool goesBack(const ServiceState &service, const RolloutStatus &status) {
+  const RolloutStatus &known = service.Status;
+  if (status.StatusRevision.Era == known.StatusRevision.Era ||
+      (service.Order && !service.StatusCoversOrder))
+    return false;
+  if (status.Version == known.Version)
+    return rank(status.State) < rank(known.State);
+  return service.StatusCoversOrder &&
+         status.StatusRevision.Number < known.StatusRevision.Number;
+}
+
 } // namespace
 
 bool applyConfig(SteeringState &state, SteerConfig config) {
@@ -39,16 +74,42 @@
   state.Targets.erase(target);
 }
 
-void applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
+bool applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
                        MonoTime now) {
   ServiceState &service = state.Services[order.Service];
-  if (service.Order && service.Order->OrderRevision == order.OrderRevision)
-    return;
+  if (service.Order) {
+    StorePosition &known = service.Order->OrderRevision;
+    if (known == order.OrderRevision)
+      return false;
+    bool newEra = known.Era < order.OrderRevision.Era;
+    bool rewritten =
+        service.OrderRestoredAt && now - *service.OrderRestoredAt < RewriteTime;
+    if (sameOrder(*service.Order, order) && (newEra || rewritten)) {
+      if (newEra)
+        service.OrderRestoredAt = now;
+      known = order.OrderRevision;
+      return false;
+    }
+  }
   service.Order = order;
+  if (covers(service.StoredStatus, order))
+    service.Status = service.StoredStatus;
+  service.StatusCoversOrder = covers(service.Status, order);
+  service.OrderRestoredAt.reset();
   service.OrderedAt = now;
   service.NewVersionBad = false;
   service.Evidence.clear();
   service.NewVersionCredit = 0;
+  return true;
+}
+
+bool isOutdatedOrder(const SteeringState &state, const RolloutOrder &order) {
+  auto it = state.Services.find(order.Service);
+  if (it == state.Services.end() || !it->second.Order)
+    return false;
+  const RolloutOrder &known = *it->second.Order;
+  return !sameOrder(known, order) &&
+         order.OrderRevision.Number < known.OrderRevision.Number;
 }
 
 void eraseRolloutOrder(SteeringState &state, const ServiceId &service) {
@@ -58,9 +119,31 @@
 void applyRolloutStatus(SteeringState &state, const ServiceId &service,
                         const RolloutStatus &status) {
   ServiceState &known = state.Services[service];
-  if (status.StatusRevision < known.Status.StatusRevision)
+  if (status.StatusRevision < known.StoredStatus.StatusRevision)
     return;
+  known.StoredStatus = status;
+  if (goesBack(known, status))
+    return;
+  bool restored = known.StatusCoversOrder &&
+                  status.Version == known.Status.Version &&
+                  status.StatusRevision.Era != known.Status.StatusRevision.Era;
   known.Status = status;
+  known.StatusCoversOrder =
+      known.Order && (restored || covers(status, *known.Order));
+}
+
+void loseRolloutStatus(SteeringState &state, const ServiceId &service,
+                       StorePosition at) {
+  // The status that replaces it requires that the key does not exist.
+  state.Services[service].StoredStatus = {
+      RolloutState::None, VersionId(), {at.Era, Revision(0)}};
+}
+
+bool isStatusBehind(const ServiceState &service) {
+  const RolloutStatus &stored = service.StoredStatus;
+  return stored.Version != service.Status.Version ||
+         rank(stored.State) < rank(service.Status.State) ||
+         stored.StatusRevision < service.Order->OrderRevision;
 }
 
 void startEvacuation(SteeringState &state, const ZoneId &zone) {
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -396,7 +396,7 @@
     return false;
   bool ended = service.Status.State == RolloutState::Completed ||
                service.Status.State == RolloutState::RolledBack;
-  return !ended || service.Status.StatusRevision < service.Order->OrderRevision;
+  return !ended || !service.StatusCoversOrder;
 }
 
 } // namespace savorylb
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -37,7 +37,17 @@
   std::optional<RolloutOrder> Order;
   /// Time of the order, as far as known to this VM.
   MonoTime OrderedAt{};
+  /// When the order was first seen in a newer era of the store.
+  std::optional<MonoTime> OrderRestoredAt;
+  /// The newest known status.
   RolloutStatus Status;
+  /// Status is that of Order, not of an earlier one.
+  bool StatusCoversOrder = false;
+  /// The status in the store, which is behind Status after the store came back
+  /// from an older copy.
+  RolloutStatus StoredStatus;
+  /// When StoredStatus was first seen to be behind; unset while it is not.
+  std::optional<MonoTime> StatusBehindSince;
   /// This VM or another one judged the new version bad.
   bool NewVersionBad = false;
   RolloutEvidence Evidence;
@@ -182,11 +192,26 @@
 void updateTarget(SteeringState &state, const TargetEntry &entry, MonoTime now);
 void eraseTarget(SteeringState &state, const TargetId &target);
 
-void applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
+/// Applies an order to roll out a version. An order of the same content that
+/// is seen in a newer era of the store, or is written again shortly after, is
+/// the known one: the rollout goes on.
+/// \returns whether it is a new order.
+bool applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
                        MonoTime now);
+/// \returns whether an order is older than the known one. Revisions up to the
+///          store's copy name the same writes in both eras.
+/// \param order an order that the store shows after it came back from an older
+///        copy.
+bool isOutdatedOrder(const SteeringState &state, const RolloutOrder &order);
 void eraseRolloutOrder(SteeringState &state, const ServiceId &service);
+/// Applies a status of the store. One that is behind the known status, which a
+/// store shows after it came back from an older copy, does not undo it.
 void applyRolloutStatus(SteeringState &state, const ServiceId &service,
                         const RolloutStatus &status);
+/// Records that the store has lost the status of a service.
+/// \param at the position at which the loss was seen.
+void loseRolloutStatus(SteeringState &state, const ServiceId &service,
+                       StorePosition at);
 
 void startEvacuation(SteeringState &state, const ZoneId &zone);
 /// Ends an evacuation. The zone's targets count as cold afterwards.
@@ -195,6 +220,10 @@
 /// \returns whether a rollout of the service is in progress.
 bool rolloutRuns(const ServiceState &service);
 
+/// \returns whether the store's status of the present order is older than the
+///          known one, or missing.
+bool isStatusBehind(const ServiceState &service);
+
 /// A due change of a rollout's status in the store.
 struct StatusChange {
   ServiceId Service;
@@ -208,7 +237,8 @@
 /// \param state stores the verdicts.
 /// \returns the changes that this VM should write now. Running and Completed
 ///          are delayed for each live VM with a lower id, so that usually only
-///          one VM writes them; a rollback is not delayed.
+///          one VM writes them; a rollback is not delayed. A status that the
+///          store has lost is written again, with the same delay.
 std::vector<StatusChange> reviewRollouts(SteeringState &state, MonoTime now);
 
 /// Updates the demands and creates the report to the other VMs.
--- a/src/savoryvm/store_restore_test.cpp
+++ b/src/savoryvm/store_restore_test.cpp
@@ -68,6 +68,17 @@
   return target.Runs.size();
 }
 
+void writeOrder(VmFixture &fixture, const std::string &version) {
+  fixture.Platform.Store.put("op/rollout/tiles",
+                             R"({"service":"tiles","targetVersion":")" +
+                                 version + R"(","duration":"3s"})");
+}
+
+bool statusIs(VmFixture &fixture, const std::string &state) {
+  return fixture.Platform.Store.get("status/rollout/tiles").find(state) !=
+         std::string::npos;
+}
+
 } // namespace
 
 TEST_GROUP(StoreRestore){};
@@ -190,6 +201,51 @@
   LONGS_EQUAL(200, fixture.call(2, CallerRequest()).Status);
 }
 
+// Guards against running a completed rollout again.
+TEST(StoreRestore, CompletedRolloutIsNotRunAgain) {
+  VmFixture fixture;
+  PlatformTarget &old = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  fixture.Platform.addTarget("tiles", "tema-a", "v2");
+  runFor(fixture, Millis(1000));
+  writeOrder(fixture, "v2");
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "running"); }));
+  fixture.Platform.Store.takeCopy();
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "completed"); }));
+  runFor(fixture, Millis(2000));
+  LONGS_EQUAL(0, runsAt(fixture, old, 10));
+  loseWrites(fixture, [] {});
+  writeOrder(fixture, "v2");
+  for (int i = 0; i < 10; ++i) {
+    LONGS_EQUAL(0, runsAt(fixture, old, 10));
+    runFor(fixture, Millis(200));
+  }
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "completed"); },
+                               Millis(1500)));
+}
+
+// Guards against forgetting a rollout whose order and status the copy lacks.
+TEST(StoreRestore, LostRolloutGoesOn) {
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  fixture.Platform.addTarget("tiles", "tema-a", "v2");
+  runFor(fixture, Millis(1000));
+  fixture.Platform.Store.takeCopy();
+  writeOrder(fixture, "v2");
+  MonoTime orderedAt = monoNow();
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "running"); }));
+  runFor(fixture, Millis(500));
+  loseWrites(fixture, [] {});
+  runFor(fixture, Millis(1000));
+  writeOrder(fixture, "v2");
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "completed"); }));
+  // A rollout whose clock starts again would take 2.6 s from here.
+  CHECK_TRUE(monoNow() - orderedAt < Millis(4200));
+}
+
 // Guards against a VM without an entry that renews a lease of another's.
 TEST(StoreRestore, VmsRegisterAgain) {
   VmFixture fixture;
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -83,7 +83,8 @@
     return;
   }
   order.value().OrderRevision = item.ModRevision;
-  applyRolloutOrder(State, order.value(), now);
+  if (!applyRolloutOrder(State, order.value(), now))
+    return;
   logEvent(EventCode::RolloutOrdered,
            {{"service", service.Value},
             {"version", order.value().Version.Value},
@@ -216,8 +217,11 @@
 
 void VmDaemon::onRolloutStatus(const platform::StoreItem &item,
                                const ServiceId &service) {
-  if (item.Removed)
+  if (item.Removed) {
+    if (item.FromCopy)
+      loseRolloutStatus(State, service, item.ModRevision);
     return;
+  }
   auto status = platform::readRolloutStatus(item.Value);
   if (!status) {
     logEvent(EventCode::DocumentRejected,
--- a/src/savoryvm/vm_restore.cpp
+++ b/src/savoryvm/vm_restore.cpp
@@ -59,9 +59,15 @@
   Duration grace = OperatorRewriteGrace;
   switch (key.Kind) {
   case platform::DocumentKind::Evacuation:
-  case platform::DocumentKind::RolloutOrder:
     held = item.Removed;
     break;
+  case platform::DocumentKind::RolloutOrder: {
+    auto order = platform::readRolloutOrder(ServiceId(key.Subject), item.Value);
+    if (order)
+      order.value().OrderRevision = item.ModRevision;
+    held = item.Removed || (order && isOutdatedOrder(State, order.value()));
+    break;
+  }
   case platform::DocumentKind::Vm:
     // The VM registers again as soon as it sees the new era.
     held = item.Removed;
