--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -10,16 +10,6 @@
 namespace savorylb {
 namespace {
 
-/// Documents are fetched from another VM if it reports a newer revision, or if
-/// the last call to the store failed and the store has not answered for
-/// PeerFetchDelay.
-constexpr Duration PeerFetchDelay = Millis(1500);
-/// Shortest time between the starts of two fetches.
-constexpr Duration PeerFetchInterval = Millis(700);
-
-/// Live targets restore their entries within this time after the store is
-/// back.
-constexpr Duration LeaseLapseGrace = Millis(2300);
 /// If more than this fraction of all targets disappears in one update, their
 /// leases are assumed to have lapsed in an outage of the store.
 constexpr double LeaseLapseFraction = 0.4;
@@ -28,8 +18,10 @@
 
 void VmDaemon::onOperatorChanges(
     const std::vector<platform::StoreItem> &changes) {
+  logNewEra();
   for (const platform::StoreItem &it : changes)
-    onOperatorChange(it);
+    if (!holdDocument(it))
+      onOperatorChange(it);
 }
 
 void VmDaemon::onOperatorChange(const platform::StoreItem &item) {
@@ -53,21 +45,28 @@
 void VmDaemon::onConfig(const platform::StoreItem &item) {
   if (item.Removed)
     return;
-  auto config = platform::readConfig(item.Value);
+  activateConfig(item.Value, item.Key, item.ModRevision.Number);
+}
+
+bool VmDaemon::activateConfig(const std::string &text, const std::string &key,
+                              Revision revision) {
+  auto config = platform::readConfig(text);
   if (!config) {
     logEvent(EventCode::DocumentRejected,
-             {{"key", item.Key},
-              {"revision", item.ModRevision.Value},
+             {{"key", key},
+              {"revision", revision.Value},
               {"findings", config.error().Message}});
-    return;
+    return false;
   }
   if (!applyConfig(State, config.value()))
-    return;
+    return false;
+  ConfigText = text;
   const CallerLimits &limits = State.Config->Limits;
   Callers.setLimits({limits.MaxHeaderBytes, limits.MaxBodyBytes,
                      limits.HeaderTimeout, limits.IdleTimeout});
-  logEvent(EventCode::ConfigActivated, {{"version", State.Config->Version},
-                                        {"revision", item.ModRevision.Value}});
+  logEvent(EventCode::ConfigActivated,
+           {{"version", State.Config->Version}, {"revision", revision.Value}});
+  return true;
 }
 
 void VmDaemon::onRolloutOrder(const platform::StoreItem &item,
@@ -84,7 +83,8 @@
     return;
   }
   order.value().OrderRevision = item.ModRevision;
-  applyRolloutOrder(State, order.value(), now);
+  if (!applyRolloutOrder(State, order.value(), now))
+    return;
   logEvent(EventCode::RolloutOrdered,
            {{"service", service.Value},
             {"version", order.value().Version.Value},
@@ -98,14 +98,18 @@
     logEvent(EventCode::EvacuationEnded, {{"zone", zone.Value}});
   } else {
     startEvacuation(State, zone);
-    logEvent(EventCode::EvacuationStarted,
-             {{"zone", zone.Value}, {"revision", item.ModRevision.Value}});
+    logEvent(
+        EventCode::EvacuationStarted,
+        {{"zone", zone.Value}, {"revision", item.ModRevision.Number.Value}});
   }
 }
 
 void VmDaemon::removeTarget(const TargetId &target, const char *reason) {
   logEvent(EventCode::TargetDown,
            {{"target", target.Value}, {"reason", std::string(reason)}});
+  auto known = State.Targets.find(target);
+  if (known != State.Targets.end())
+    recordDeparture(EndedStarts, known->second.Entry, monoNow());
   eraseTarget(State, target);
   Pool.drop(target);
 }
@@ -125,17 +129,22 @@
     if (it.Removed) {
       if (!State.Targets.count(id))
         continue;
-      // The grace time starts now for a mass removal, and otherwise at the last
-      // failure of the store.
-      MonoTime graceStart = leasesLapsed ? now : StoreFailedAt;
+      // The grace time starts now for a mass removal and for entries that a
+      // restored store lacks, and otherwise at the last failure of the store or
+      // at its restore.
+      MonoTime graceStart = leasesLapsed || it.FromCopy
+                                ? now
+                                : std::max(StoreFailedAt, EraEnteredAt);
       if (now - graceStart < LeaseLapseGrace)
         PendingRemovals.emplace(id, graceStart + LeaseLapseGrace);
       else
         removeTarget(id, "entry-removed");
       continue;
     }
-    PendingRemovals.erase(id);
     auto entry = platform::readTarget(id, it.Value);
+    if (entry && isOutdatedTarget(it, entry.value(), now))
+      continue;
+    PendingRemovals.erase(id);
     if (!entry) {
       logEvent(EventCode::TargetRejected,
                {{"target", id.Value}, {"reason", entry.error().Message}});
@@ -145,12 +154,17 @@
     }
     auto known = State.Targets.find(id);
     bool added = known == State.Targets.end();
+    if (it.FromCopy && !added &&
+        isSameReport(known->second.Entry, entry.value()))
+      continue; // Applying it again would extend the warm-up.
     bool left =
         !added && !known->second.Entry.Draining && entry.value().Draining;
     bool restarted =
         !added && known->second.Entry.StartId != entry.value().StartId;
-    if (restarted)
+    if (restarted) {
+      recordRestart(EndedStarts, known->second.Entry, now);
       Pool.drop(id);
+    }
     updateTarget(State, entry.value(), now);
     if (added || restarted)
       logEvent(EventCode::TargetUp,
@@ -168,36 +182,56 @@
 void VmDaemon::onSystemChanges(
     const std::vector<platform::StoreItem> &changes) {
   for (const platform::StoreItem &it : changes) {
+    if (holdDocument(it))
+      continue;
     platform::StoreKey key = platform::parseStoreKey(it.Key);
-    if (key.Kind == platform::DocumentKind::Vm) {
-      VmId vm(key.Subject);
-      if (vm == State.Fleet.Self.Vm)
-        continue;
-      auto entry =
-          it.Removed ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
-                     : readVmEntry(it.Value);
-      if (entry) {
-        State.Fleet.Registered[vm] = entry.value();
-        logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
-      } else {
-        State.Fleet.Registered.erase(vm);
-        logEvent(EventCode::PeerDown,
-                 {{"peer", vm.Value}, {"reason", entry.error().Message}});
-      }
-    } else if (key.Kind == platform::DocumentKind::RolloutStatus &&
-               !it.Removed) {
-      auto status = platform::readRolloutStatus(it.Value);
-      if (!status) {
-        logEvent(EventCode::DocumentRejected,
-                 {{"key", it.Key}, {"findings", status.error().Message}});
-        continue;
-      }
-      status.value().StatusRevision = it.ModRevision;
-      applyRolloutStatus(State, ServiceId(key.Subject), status.value());
-      logEvent(EventCode::RolloutStepped,
-               {{"service", key.Subject}, {"status", it.Value}});
-    }
+    if (key.Kind == platform::DocumentKind::Vm)
+      onVmEntry(it, VmId(key.Subject));
+    else if (key.Kind == platform::DocumentKind::RolloutStatus)
+      onRolloutStatus(it, ServiceId(key.Subject));
+  }
+}
+
+void VmDaemon::onVmEntry(const platform::StoreItem &item, const VmId &vm) {
+  if (vm == State.Fleet.Self.Vm)
+    return;
+  auto entry = item.Removed
+                   ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
+                   : readVmEntry(item.Value);
+  if (entry) {
+    if (isOutdatedVm(item, entry.value(), monoNow()))
+      return;
+    DepartedVms.erase(vm);
+    State.Fleet.Registered[vm] = entry.value();
+    logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
+    return;
   }
+  auto known = State.Fleet.Registered.find(vm);
+  if (known != State.Fleet.Registered.end()) {
+    DepartedVms[vm] = known->second.StartId;
+    State.Fleet.Registered.erase(known);
+  }
+  logEvent(EventCode::PeerDown,
+           {{"peer", vm.Value}, {"reason", entry.error().Message}});
+}
+
+void VmDaemon::onRolloutStatus(const platform::StoreItem &item,
+                               const ServiceId &service) {
+  if (item.Removed) {
+    if (item.FromCopy)
+      loseRolloutStatus(State, service, item.ModRevision);
+    return;
+  }
+  auto status = platform::readRolloutStatus(item.Value);
+  if (!status) {
+    logEvent(EventCode::DocumentRejected,
+             {{"key", item.Key}, {"findings", status.error().Message}});
+    return;
+  }
+  status.value().StatusRevision = item.ModRevision;
+  applyRolloutStatus(State, service, status.value());
+  logEvent(EventCode::RolloutStepped,
+           {{"service", service.Value}, {"status", item.Value}});
 }
 
 void VmDaemon::applyPendingRemovals(MonoTime now) {
@@ -214,73 +248,4 @@
   }
 }
 
-void VmDaemon::fetchFromPeer(MonoTime now) {
-  bool storeSilent =
-      StoreFailedAt > StoreAnsweredAt && now - StoreAnsweredAt > PeerFetchDelay;
-  VmEntry chosen;
-  for (const auto &[vm, peer] : State.Fleet.Peers) {
-    if (now - peer.ReceivedAt > PeerTimeout)
-      continue;
-    bool newer = peer.Report.DocumentsRevision > State.DocumentsRevision;
-    if (newer || (storeSilent && chosen.Vm.empty()))
-      chosen = peer.Report.Vm;
-    if (newer)
-      break;
-  }
-  // A pending fetch delays the next one by at most 2 s.
-  if (chosen.Vm.empty() ||
-      (PeerFetchPending && now - PeerFetchStartedAt < Seconds(2)) ||
-      now - PeerFetchStartedAt < PeerFetchInterval)
-    return;
-  PeerFetchPending = true;
-  PeerFetchStartedAt = now;
-  PeerChannel =
-      std::make_unique<HttpChannel>(Io.get_executor(), chosen.PeerAddress);
-  HttpMessage request;
-  request.Method = "GET";
-  request.Path = std::string("/news/0/") + platform::OperatorPrefix;
-  std::string peer = chosen.Vm.Value;
-  bool fetchTargets = storeSilent;
-  PeerChannel->call(
-      request, Seconds(1), // Limit for the response.
-      [this, peer, fetchTargets](const Result<HttpMessage> &response) {
-        PeerFetchPending = false;
-        adoptFromPeer(peer, platform::OperatorPrefix, response);
-        if (!fetchTargets || !response)
-          return;
-        HttpMessage more;
-        more.Method = "GET";
-        more.Path = std::string("/news/0/") + platform::TargetPrefix;
-        // 1 s is the limit for the response.
-        PeerChannel->call(more, Seconds(1),
-                          [this, peer](const Result<HttpMessage> &answer) {
-                            adoptFromPeer(peer, platform::TargetPrefix, answer);
-                          });
-      });
-}
-
-void VmDaemon::adoptFromPeer(const std::string &peer, const std::string &prefix,
-                             const Result<HttpMessage> &response) {
-  if (!response || response.value().Status != 200) {
-    incrementCounter(
-        "peer_documents_failed"); // A later round fetches them again.
-    return;
-  }
-  auto update = readMirrorUpdate(response.value().Body);
-  if (!update) {
-    logEvent(EventCode::DocumentRejected,
-             {{"key", prefix}, {"findings", update.error().Message}});
-    return;
-  }
-  StoreSync &sync =
-      prefix == platform::OperatorPrefix ? OperatorSync : TargetSync;
-  if (update.value().Page.StoreRevision <= sync.mirror().KnownRevision)
-    return;
-  sync.adopt(update.value().Page);
-  logEvent(EventCode::PeerDocumentsAdopted,
-           {{"prefix", prefix},
-            {"peer", peer},
-            {"revision", update.value().Page.StoreRevision.Value}});
-}
-
 } // namespace savorylb
