Limit the lines of chunks and the trailer fields of a message

A peer that sends the line of a chunk or a trailer field without an end was read until the exchange timed out, and all its bytes were kept: the parser consumes these parts only when they are complete, and its header limit does not apply to them. On a VM with 160 MB a few such targets end the process.

HttpReader now rejects a message when the bytes that wait for the end of a chunk's line or of the trailer exceed the header limit. Body bytes are consumed as they arrive, so they are never counted.

Before: LimitsChunkLinesAndTrailers fails at 'Message: 5;' (CHECK_TRUE(state == ReadState::Invalid) failed). It passes now.

--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -28,6 +28,7 @@
   /// Whether Content-Length and Transfer-Encoding have been seen.
   bool HasLength = false;
   bool HasEncoding = false;
+  std::size_t MaxHeaderBytes = 0;
 };
 
 template <bool IsRequest>
@@ -105,6 +106,7 @@
     Impl = prepare(std::make_unique<TypedParser<true>>());
   else
     Impl = prepare(std::make_unique<TypedParser<false>>());
+  Impl->MaxHeaderBytes = static_cast<std::size_t>(maxHeaderBytes);
 }
 
 HttpReader::~HttpReader() = default;
@@ -133,6 +135,12 @@
     if (n == 0)
       break;
   }
+  if (!Impl->done() && buffer.size() > Impl->MaxHeaderBytes) {
+    // The parser limits the header, but neither the line of a chunk nor the
+    // trailer fields, and consumes them only when they are complete.
+    Impl->Error = ReadError::HeaderTooLarge;
+    return ReadState::Invalid;
+  }
   if (!Impl->done())
     return ReadState::NeedMore;
   Impl->Message.KeepAlive = Impl->keepAlive();
--- a/src/libsavoryhttp/http_reader.h
+++ b/src/libsavoryhttp/http_reader.h
@@ -19,7 +19,8 @@
 public:
   enum class Kind { Request, Response };
 
-  /// \param maxHeaderBytes limit of the start line and the header fields.
+  /// \param maxHeaderBytes limit of the start line and the header fields, of each
+  ///        chunk's line and of the trailer fields.
   /// \param maxBodyBytes limit of the body.
   HttpReader(Kind kind, std::int64_t maxHeaderBytes, std::int64_t maxBodyBytes);
   ~HttpReader();
--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -96,6 +96,29 @@
   CHECK_TRUE(body.error() == ReadError::BodyTooLarge);
 }
 
+// Guards against a line of a chunk or trailer fields that fill the memory,
+// because the parser consumes them only when they are complete.
+TEST(HttpReader, LimitsChunkLinesAndTrailers) {
+  const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                            "\r\n5\r\nhello\r\n";
+  struct Case {
+    const char *First;
+    const char *Endless;
+  };
+  for (Case it : {Case{"5;", "x"}, Case{"0\r\n", "T: x\r\n"},
+                  Case{"0\r\nT: ", "x"}, Case{"", "0"}}) {
+    HttpReader reader = makeReader(HttpReader::Kind::Response);
+    std::string buffer = start + it.First;
+    ReadState state = reader.read(buffer);
+    for (int i = 0; i < 3 * MaxHeaderBytes && state == ReadState::NeedMore;
+         ++i) {
+      buffer += it.Endless;
+      state = reader.read(buffer);
+    }
+    CHECK_TRUE_TEXT(state == ReadState::Invalid, it.First);
+  }
+}
+
 TEST_GROUP(HttpMessage){};
 
 // Guards against hop-by-hop fields that are forwarded to another connection.
