Bound the interim and skipped responses of one exchange

A target that sends interim responses, or responses to other requests, without an end was read until the caller's deadline: callers got 504 late, retryable requests were lost although another target could have run them, and parsing used the VM's core all that time.

HttpConnection now ends the exchange as broken after 8 such responses or 4 MB of their bodies. The proxy handles that as any broken response (retry if the route allows it, else 502; the target counts as failed) and logs response_rejected with the reason. A closed connection releases the bytes it has read at once.

Evidence: the tests send eleven kinds of endless bytes from a scripted target. The other kinds (head, fields, body, chunks) already ended at the existing limits; the tests guard that.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -10,6 +10,12 @@
 
 constexpr std::size_t ReadBufferBytes = 16'384;
 constexpr std::int64_t MaxResponseHeadBytes = 65'536;
+/// Interim and skipped responses that are read before the response to one
+/// request. A late response to an earlier request is rare, so more of them come
+/// from a faulty peer that would otherwise be read until the timeout.
+constexpr int MaxSkippedResponses = 8;
+/// The same for the bytes of their bodies.
+constexpr std::size_t MaxSkippedBytes = 4 << 20;
 /// The kernel closes a connection whose data is unacknowledged for this long.
 constexpr int TcpUserTimeoutMs = 1500;
 
@@ -23,6 +29,20 @@
   return Duration(Seconds(std::atoi(text->c_str() + at + 8)));
 }
 
+const char *rejectReason(ReadError error) {
+  switch (error) {
+  case ReadError::HeaderTooLarge:
+    return "head-too-large";
+  case ReadError::BodyTooLarge:
+    return "body-too-large";
+  case ReadError::Malformed:
+    return "malformed";
+  case ReadError::None:
+    break;
+  }
+  return nullptr;
+}
+
 } // namespace
 
 std::optional<asio::ip::tcp::endpoint>
@@ -77,16 +97,23 @@
       });
 }
 
+void HttpConnection::expectResponse() {
+  Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes,
+                 MaxBodyBytes);
+  if (Current.IsHeadRequest)
+    Reader->expectNoBody();
+}
+
 void HttpConnection::start(Exchange exchange) {
   auto self = shared_from_this();
   Current = std::move(exchange);
   Busy = true;
   Writing = true;
   std::uint64_t generation = ++Generation;
-  Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes,
-                 MaxBodyBytes);
-  if (Current.IsHeadRequest)
-    Reader->expectNoBody();
+  SkippedResponses = 0;
+  SkippedBytes = 0;
+  RejectReason = nullptr;
+  expectResponse();
   Timer.expires_after(Current.Timeout);
   Timer.async_wait([self, generation](const boost::system::error_code &ec) {
     if (!ec && self->Generation == generation && self->Busy)
@@ -116,6 +143,8 @@
   ++Generation;
   Current = Exchange();
   Timer.cancel();
+  Reader.reset();
+  Buffer = std::string();
   boost::system::error_code ignored; // The socket is discarded in any case.
   Socket.close(ignored);
 }
@@ -149,12 +178,22 @@
   readResponse(ec == asio::error::eof);
 }
 
+/// Counts an interim response or one to another request.
+/// \returns whether the exchange can continue.
+bool HttpConnection::skipResponse(const HttpMessage &message) {
+  ++SkippedResponses;
+  SkippedBytes += message.Body.size();
+  return SkippedResponses <= MaxSkippedResponses &&
+         SkippedBytes <= MaxSkippedBytes;
+}
+
 void HttpConnection::readResponse(bool ended) {
   while (true) {
     ReadState state = Reader->read(Buffer);
     if (state == ReadState::NeedMore && ended)
       state = Reader->started() ? Reader->readEof() : ReadState::Invalid;
     if (state == ReadState::Invalid) {
+      RejectReason = rejectReason(Reader->error());
       finish(ExchangeOutcome::Broken);
       return;
     }
@@ -175,10 +214,12 @@
       finish(ExchangeOutcome::Broken);
       return;
     }
-    Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes,
-                   MaxBodyBytes);
-    if (Current.IsHeadRequest)
-      Reader->expectNoBody();
+    if (!skipResponse(message)) {
+      RejectReason = "too-many-responses";
+      finish(ExchangeOutcome::Broken);
+      return;
+    }
+    expectResponse();
   }
 }
 
@@ -192,6 +233,7 @@
   ++Exchanges;
   IdleSince = monoNow();
   Timer.cancel();
+  Reader.reset();
   // The connection cannot be reused after surplus bytes behind the response or
   // an incompletely sent request.
   if (outcome != ExchangeOutcome::Answered || !message.KeepAlive || Writing ||
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -69,8 +69,13 @@
   MonoTime IdleSince{};
   /// Time that the connection took to open.
   Duration ConnectTime{0};
+  /// Why the bytes of the last exchange were rejected; null if the connection
+  /// itself failed.
+  const char *RejectReason = nullptr;
 
 private:
+  void expectResponse();
+  bool skipResponse(const HttpMessage &message);
   void readMore();
   void onRead(const boost::system::error_code &ec, std::size_t n);
   void readResponse(bool ended);
@@ -83,6 +88,10 @@
   std::string ReadBuffer;
   std::optional<HttpReader> Reader;
   Exchange Current;
+  /// Interim and skipped responses of the current exchange, and the bytes of
+  /// their bodies.
+  int SkippedResponses = 0;
+  std::size_t SkippedBytes = 0;
   bool Open = false;
   bool Busy = false;
   bool Reading = false;
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -194,6 +194,11 @@
   }
   recordSendResult(TargetResult::Failed, 0, std::nullopt);
   incrementCounter("target_broken");
+  if (const char *reason = CurrentSend.Connection->RejectReason)
+    logEvent(EventCode::ResponseRejected,
+             {{"trace", Metadata.AttemptId.Value},
+              {"target", CurrentSend.Target.Value},
+              {"reason", std::string(reason)}});
   EarlierMayHaveRun = true;
   if (Steered.Route->Retry == RetryRule::Retryable)
     retry("broken");
--- a/src/standins/platform/platform_target.cpp
+++ b/src/standins/platform/platform_target.cpp
@@ -14,6 +14,22 @@
 
 } // namespace
 
+std::string targetEntry(const std::string &address, const std::string &service,
+                        const std::string &zone, const std::string &version,
+                        const std::string &state, int sequence) {
+  Json::Value entry;
+  entry["address"] = address;
+  entry["born"] = 1790000000000;
+  entry["information"]["service"] = service;
+  entry["information"]["version"] = version;
+  entry["information"]["zone"] = zone;
+  entry["information"]["slots"] = Slots;
+  entry["status"]["state"] = state;
+  entry["status"]["sequence"] = sequence;
+  entry["status"]["warmupRemaining"] = "0ms";
+  return platform::writeJson(entry);
+}
+
 PlatformTarget::PlatformTarget(asio::io_context &io, PlatformStore &store,
                                std::string id, std::string service,
                                std::string zone, std::string version)
@@ -30,17 +46,8 @@
 }
 
 void PlatformTarget::registerEntry(const std::string &state) {
-  Json::Value entry;
-  entry["address"] = Address;
-  entry["born"] = 1790000000000;
-  entry["information"]["service"] = Service;
-  entry["information"]["version"] = Version;
-  entry["information"]["zone"] = Zone;
-  entry["information"]["slots"] = Slots;
-  entry["status"]["state"] = state;
-  entry["status"]["sequence"] = ++Sequence;
-  entry["status"]["warmupRemaining"] = "0ms";
-  Store.put("servers/" + Id, platform::writeJson(entry));
+  Store.put("servers/" + Id,
+            targetEntry(Address, Service, Zone, Version, state, ++Sequence));
 }
 
 void PlatformTarget::serve(const std::shared_ptr<ServedRequest> &request) {
--- a/src/standins/platform/platform_target.h
+++ b/src/standins/platform/platform_target.h
@@ -28,6 +28,12 @@
   Fail,
 };
 
+/// \returns the entry of a target in the store.
+std::string targetEntry(const std::string &address, const std::string &service,
+                        const std::string &zone,
+                        const std::string &version = "v1",
+                        const std::string &state = "ready", int sequence = 1);
+
 /// Simulates one target of the platform.
 class PlatformTarget {
 public:
@@ -37,6 +43,12 @@
   bool listen(const std::string &address);
   /// Writes the target's entry into the store.
   void registerEntry(const std::string &state = "ready");
+  /// Sets the largest request body that the target reads.
+  void setMaxBodyBytes(std::int64_t bytes) {
+    SessionLimits limits;
+    limits.MaxBodyBytes = bytes;
+    Server.setLimits(limits);
+  }
   void removeEntry() { Store.remove("servers/" + Id); }
 
   TargetMode Mode = TargetMode::Serve;
--- a/src/standins/platform/simulated_platform.cpp
+++ b/src/standins/platform/simulated_platform.cpp
@@ -7,6 +7,7 @@
 
 constexpr int StorePort = 8601;
 constexpr int TargetPort = 8610;
+constexpr int ScriptedPort = 8650;
 constexpr int CallerPort = 8701;
 constexpr int ReadyPort = 8702;
 constexpr int LookupPort = 8703;
@@ -54,6 +55,19 @@
   return *Targets.back();
 }
 
+ScriptedServer &
+SimulatedPlatform::addScriptedTarget(const std::string &service,
+                                     ScriptedServer::Script script) {
+  int n = static_cast<int>(ScriptedTargets.size());
+  std::string address = loopbackAddress(Net, 100, ScriptedPort + n);
+  ScriptedTargets.push_back(
+      std::make_unique<ScriptedServer>(Io, std::move(script)));
+  ScriptedTargets.back()->listen(address);
+  Store.put("servers/s-" + std::to_string(n),
+            targetEntry(address, service, "tema-a"));
+  return *ScriptedTargets.back();
+}
+
 void SimulatedPlatform::configure(const std::vector<std::string> &keys) {
   Json::Value config;
   config["version"] = Version += 3;
@@ -65,7 +79,7 @@
     config["services"][it]["warmupPerS"] = 9.3;
   }
   config["limits"]["maxHeaderBytes"] = 16384;
-  config["limits"]["maxBodyBytes"] = 1048576;
+  config["limits"]["maxBodyBytes"] = static_cast<Json::Int64>(MaxBodyBytes);
   config["limits"]["headerTimeout"] = "3000ms";
   config["limits"]["idleTimeout"] = "15000ms";
   Json::Value &team = config["tenants"]["port"];
--- a/src/standins/platform/simulated_platform.h
+++ b/src/standins/platform/simulated_platform.h
@@ -4,6 +4,7 @@
 #include "platform_caller.h"
 #include "platform_store.h"
 #include "platform_target.h"
+#include "scripted_server.h"
 
 #include <memory>
 #include <string>
@@ -25,6 +26,10 @@
   PlatformTarget &addTarget(const std::string &service, const std::string &zone,
                             const std::string &version = "v1");
 
+  /// Adds a target in the zone `tema-a` that writes raw bytes.
+  ScriptedServer &addScriptedTarget(const std::string &service,
+                                    ScriptedServer::Script script);
+
   /// Writes the next version of the configuration.
   /// \param keys keys of the team `port`.
   void configure(const std::vector<std::string> &keys);
@@ -41,6 +46,9 @@
   asio::io_context &Io;
   PlatformStore Store;
   std::vector<std::unique_ptr<PlatformTarget>> Targets;
+  std::vector<std::unique_ptr<ScriptedServer>> ScriptedTargets;
+  /// Limit of a request's body in the configuration.
+  std::int64_t MaxBodyBytes = 1 << 20;
   int Net = 0;
   int Version = 0;
 };
