Bound the bodies that a VM holds of all targets and callers

A response could have 32 MB and a request 64 MB, with no bound over all connections, and a request's body was held up to three times. A few targets that send large bodies without an end, or a few large uploads, make a VM with 160 MB run out of memory; the process ends and all its requests are lost.

ByteBudget counts body bytes as they are read: 40 MB for all responses until the caller has received them, 72 MB for all callers' bodies. A response that does not fit is a broken response. A request that does not fit is refused with 503 and Retry-After before a target sees it, at its header if it has a length. All sends of a request share one copy of its body.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -35,6 +35,8 @@
     return "head-too-large";
   case ReadError::BodyTooLarge:
     return "body-too-large";
+  case ReadError::NoMemory:
+    return "no-memory";
   case ReadError::Malformed:
     return "malformed";
   case ReadError::None:
@@ -59,9 +61,10 @@
 }
 
 HttpConnection::HttpConnection(const asio::any_io_executor &io,
-                               std::int64_t maxBodyBytes)
+                               std::int64_t maxBodyBytes,
+                               std::shared_ptr<ByteBudget> budget)
     : Socket(io), Timer(io), MaxBodyBytes(maxBodyBytes),
-      ReadBuffer(ReadBufferBytes, 0) {}
+      Budget(std::move(budget)), ReadBuffer(ReadBufferBytes, 0) {}
 
 void HttpConnection::connect(const std::string &address, Duration timeout,
                              const std::function<void(bool)> &done) {
@@ -98,8 +101,8 @@
 }
 
 void HttpConnection::expectResponse() {
-  Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes,
-                 MaxBodyBytes);
+  Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes, MaxBodyBytes,
+                 Budget);
   if (Current.IsHeadRequest)
     Reader->expectNoBody();
 }
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -46,7 +46,10 @@
 /// An HTTP client connection that carries one exchange at a time.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
-  HttpConnection(const asio::any_io_executor &io, std::int64_t maxBodyBytes);
+  /// \param maxBodyBytes limit of one response's body.
+  /// \param budget charged with the bodies of responses, or null.
+  HttpConnection(const asio::any_io_executor &io, std::int64_t maxBodyBytes,
+                 std::shared_ptr<ByteBudget> budget = nullptr);
 
   /// Opens the connection asynchronously.
   /// \param address `ip:port`.
@@ -84,6 +87,7 @@
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
   std::int64_t MaxBodyBytes;
+  std::shared_ptr<ByteBudget> Budget;
   std::string Buffer;
   std::string ReadBuffer;
   std::optional<HttpReader> Reader;
--- a/src/libsavoryhttp/http_message.cpp
+++ b/src/libsavoryhttp/http_message.cpp
@@ -70,11 +70,15 @@
 }
 
 std::string requestHead(const HttpMessage &message) {
+  return requestHead(message, message.Body.size());
+}
+
+std::string requestHead(const HttpMessage &message, std::size_t bodyBytes) {
   std::string out = message.Method + ' ' + message.Path + " HTTP/1.1\r\n";
   appendFields(out, message);
-  if (!message.Body.empty() || message.Method == "POST" ||
-      message.Method == "PUT" || message.Method == "PATCH")
-    out += "Content-Length: " + std::to_string(message.Body.size()) + "\r\n";
+  if (bodyBytes > 0 || message.Method == "POST" || message.Method == "PUT" ||
+      message.Method == "PATCH")
+    out += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
   out += "\r\n";
   return out;
 }
--- a/src/libsavoryhttp/http_message.h
+++ b/src/libsavoryhttp/http_message.h
@@ -1,6 +1,9 @@
 #ifndef SAVORYLB_HTTP_MESSAGE_H
 #define SAVORYLB_HTTP_MESSAGE_H
 
+#include "byte_budget.h"
+
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +24,8 @@
   std::string Body;
   /// The connection can be reused after this message.
   bool KeepAlive = true;
+  /// Charges the body to a budget; null if there is none.
+  std::shared_ptr<ByteReservation> Memory;
 };
 
 /// Finds a header field; names are compared case-insensitively.
@@ -38,9 +43,13 @@
 /// Compares two field names case-insensitively.
 bool sameFieldName(const std::string &a, const std::string &b);
 
-/// Serializes the request line and the header fields, with Content-Length.
+/// Serializes the request line and the header fields, with the length of the
+/// message's body as Content-Length.
 std::string requestHead(const HttpMessage &message);
 
+/// The same for a body that is kept elsewhere.
+std::string requestHead(const HttpMessage &message, std::size_t bodyBytes);
+
 /// Serializes the status line and the header fields, with Content-Length.
 /// \param close whether the connection closes after the response.
 /// \param headRequest whether the request's method was HEAD.
--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -28,7 +28,17 @@
   /// Whether Content-Length and Transfer-Encoding have been seen.
   bool HasLength = false;
   bool HasEncoding = false;
+  bool OverBudget = false;
   std::size_t MaxHeaderBytes = 0;
+
+  /// Charges body bytes to the budget, if there is one.
+  bool reserve(std::size_t bytes, ParseError &ec) {
+    if (!Message.Memory || Message.Memory->grow(bytes))
+      return true;
+    OverBudget = true;
+    ec = http::error::body_limit;
+    return false;
+  }
 };
 
 template <bool IsRequest>
@@ -74,20 +84,29 @@
   }
   void on_header_impl(ParseError &) override {}
   void on_body_init_impl(const boost::optional<std::uint64_t> &length,
-                         ParseError &) override {
+                         ParseError &ec) override {
+    if (length && Message.Memory && !Message.Memory->fits(*length)) {
+      OverBudget = true;
+      ec = http::error::body_limit;
+      return;
+    }
     // Avoids reallocation for bodies of usual size; larger ones grow on demand.
     constexpr std::uint64_t MaxReserveBytes = 1 << 20;
     if (length)
       Message.Body.reserve(std::min(*length, MaxReserveBytes));
   }
-  std::size_t on_body_impl(string_view body, ParseError &) override {
+  std::size_t on_body_impl(string_view body, ParseError &ec) override {
+    if (!reserve(body.size(), ec))
+      return 0;
     Message.Body.append(body.data(), body.size());
     return body.size();
   }
   void on_chunk_header_impl(std::uint64_t, string_view, ParseError &) override {
   }
   std::size_t on_chunk_body_impl(std::uint64_t, string_view body,
-                                 ParseError &) override {
+                                 ParseError &ec) override {
+    if (!reserve(body.size(), ec))
+      return 0;
     Message.Body.append(body.data(), body.size());
     return body.size();
   }
@@ -95,7 +114,8 @@
 };
 
 HttpReader::HttpReader(Kind kind, std::int64_t maxHeaderBytes,
-                       std::int64_t maxBodyBytes) {
+                       std::int64_t maxBodyBytes,
+                       const std::shared_ptr<ByteBudget> &budget) {
   auto prepare = [&](auto parser) {
     parser->header_limit(static_cast<std::uint32_t>(maxHeaderBytes));
     parser->body_limit(static_cast<std::uint64_t>(maxBodyBytes));
@@ -107,6 +127,8 @@
   else
     Impl = prepare(std::make_unique<TypedParser<false>>());
   Impl->MaxHeaderBytes = static_cast<std::size_t>(maxHeaderBytes);
+  if (budget)
+    Impl->Message.Memory = std::make_shared<ByteReservation>(budget);
 }
 
 HttpReader::~HttpReader() = default;
@@ -127,7 +149,9 @@
       continue;
     }
     if (ec) {
-      Impl->Error = ec == http::error::header_limit ? ReadError::HeaderTooLarge
+      Impl->Error = Impl->OverBudget ? ReadError::NoMemory
+                    : ec == http::error::header_limit
+                        ? ReadError::HeaderTooLarge
                     : ec == http::error::body_limit ? ReadError::BodyTooLarge
                                                     : ReadError::Malformed;
       return ReadState::Invalid;
--- a/src/libsavoryhttp/http_reader.h
+++ b/src/libsavoryhttp/http_reader.h
@@ -12,17 +12,27 @@
 enum class ReadState { NeedMore, Complete, Invalid };
 
 /// Reason why a message is invalid.
-enum class ReadError { None, Malformed, HeaderTooLarge, BodyTooLarge };
+enum class ReadError {
+  None,
+  Malformed,
+  HeaderTooLarge,
+  BodyTooLarge,
+  /// The budget that bodies share is used up.
+  NoMemory,
+};
 
 /// Parses one HTTP/1.1 message from a byte stream.
 class HttpReader {
 public:
   enum class Kind { Request, Response };
 
-  /// \param maxHeaderBytes limit of the start line and the header fields, of each
-  ///        chunk's line and of the trailer fields.
+  /// \param maxHeaderBytes limit of the start line and the header fields, and
+  /// of
+  ///        the trailer fields and of each chunk's line.
   /// \param maxBodyBytes limit of the body.
-  HttpReader(Kind kind, std::int64_t maxHeaderBytes, std::int64_t maxBodyBytes);
+  /// \param budget charged with the body, or null.
+  HttpReader(Kind kind, std::int64_t maxHeaderBytes, std::int64_t maxBodyBytes,
+             const std::shared_ptr<ByteBudget> &budget = nullptr);
   ~HttpReader();
   HttpReader(HttpReader &&) noexcept;
   HttpReader &operator=(HttpReader &&) noexcept;
--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -79,7 +79,7 @@
 
   void nextRequest() {
     Reader.emplace(HttpReader::Kind::Request, Server.Limits.MaxHeaderBytes,
-                   Server.Limits.MaxBodyBytes);
+                   Server.Limits.MaxBodyBytes, Server.BodyBudget);
     ContinueSent = false;
     ArrivedAt = monoNow();
     setTimer(Server.Limits.IdleTimeout);
@@ -117,10 +117,14 @@
     case ReadError::BodyTooLarge:
       reject(413, "body-too-large");
       break;
+    case ReadError::NoMemory:
+      reject(503, "body-memory");
+      break;
     default:
       reject(400, "malformed");
       break;
     }
+    Reader.reset(); // Releases the part of the body that was read.
   }
 
   /// Sends `100 Continue` if the request has an Expect field.
@@ -221,8 +225,10 @@
                                                asio::buffer(*body)};
     setTimer(WriteTimeout);
     auto self = shared_from_this();
+    // The body stays charged to its budget until it is written.
+    auto memory = response.Memory;
     asio::async_write(Socket, parts,
-                      [self, head, body, closeAfter](
+                      [self, head, body, memory, closeAfter](
                           const boost::system::error_code &ec, std::size_t) {
                         self->onSent(ec, closeAfter);
                       });
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -55,6 +55,12 @@
   /// connection, timeouts from the next start of a timer.
   void setLimits(const SessionLimits &limits) { Limits = limits; }
 
+  /// Sets the budget that is charged with the bodies of requests. A request
+  /// that does not fit is rejected with 503 before it reaches the handler.
+  void setBodyBudget(std::shared_ptr<ByteBudget> budget) {
+    BodyBudget = std::move(budget);
+  }
+
   /// From now on each response closes its connection.
   void startDrain() { Draining = true; }
 
@@ -75,6 +81,7 @@
   Handler Handle;
   RejectionHandler Reject;
   SessionLimits Limits;
+  std::shared_ptr<ByteBudget> BodyBudget;
   bool Draining = false;
   int InFlight = 0;
   std::set<std::shared_ptr<Session>> Sessions;
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -43,14 +43,16 @@
 RequestProxy::RequestProxy(asio::io_context &io, SteeringState &state,
                            TargetPool &pool,
                            std::shared_ptr<ServedRequest> request)
-    : State(state), Pool(pool), Request(std::move(request)), Deadline(io) {}
+    : State(state), Pool(pool), Request(std::move(request)),
+      Body(std::make_shared<std::string>(std::move(Request->Message.Body))),
+      Deadline(io) {}
 
 void RequestProxy::start() {
   Metadata = platform::readCallerMetadata(Request->Message);
   MonoTime now = monoNow();
   Steered.ArrivedAt = Request->ArrivedAt;
   Steered.Object = Metadata.Object;
-  Steered.BodyBytes = static_cast<std::int64_t>(Request->Message.Body.size());
+  Steered.BodyBytes = static_cast<std::int64_t>(Body->size());
   Steered.Deadline =
       Steered.ArrivedAt +
       (Metadata.Timeout ? Duration(*Metadata.Timeout) : DefaultTimeout);
@@ -140,12 +142,10 @@
   auto left = std::chrono::duration_cast<Millis>(Steered.Deadline - now);
   platform::writeTargetMetadata(
       outgoing, {CurrentSend.Target, Steered.Team, std::max(Millis(1), left)});
-  // requestHead() takes Content-Length from the body, so the body must be
-  // set first.
-  outgoing.Body = Request->Message.Body;
   Exchange exchange;
-  exchange.Head = std::make_shared<std::string>(requestHead(outgoing));
-  exchange.Body = std::make_shared<std::string>(std::move(outgoing.Body));
+  exchange.Head =
+      std::make_shared<std::string>(requestHead(outgoing, Body->size()));
+  exchange.Body = Body;
   exchange.IsHeadRequest = Request->Message.Method == "HEAD";
   // The exchange ends about 1 s after the deadline at the latest; normally the
   // Deadline timer closes it first.
@@ -195,10 +195,9 @@
   recordSendResult(TargetResult::Failed, 0, std::nullopt);
   incrementCounter("target_broken");
   if (const char *reason = CurrentSend.Connection->RejectReason)
-    logEvent(EventCode::ResponseRejected,
-             {{"trace", Metadata.AttemptId.Value},
-              {"target", CurrentSend.Target.Value},
-              {"reason", std::string(reason)}});
+    logEvent(EventCode::ResponseRejected, {{"trace", Metadata.AttemptId.Value},
+                                           {"target", CurrentSend.Target.Value},
+                                           {"reason", std::string(reason)}});
   EarlierMayHaveRun = true;
   if (Steered.Route->Retry == RetryRule::Retryable)
     retry("broken");
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -54,6 +54,8 @@
   SteeringState &State;
   TargetPool &Pool;
   std::shared_ptr<ServedRequest> Request;
+  /// Body of the request; all sends share it.
+  std::shared_ptr<const std::string> Body;
   asio::steady_timer Deadline;
   platform::CallerMetadata Metadata;
   SteeredRequest Steered;
--- a/src/savoryvm/target_pool.cpp
+++ b/src/savoryvm/target_pool.cpp
@@ -44,7 +44,7 @@
     connection->close();
   }
   auto connection =
-      std::make_shared<HttpConnection>(Io.get_executor(), MaxBodyBytes);
+      std::make_shared<HttpConnection>(Io.get_executor(), MaxBodyBytes, Budget);
   connection->connect(address, ConnectTimeout,
                       [connection, ready](bool connected) {
                         ready(connected ? connection : nullptr);
--- a/src/savoryvm/target_pool.h
+++ b/src/savoryvm/target_pool.h
@@ -14,8 +14,11 @@
 /// A pool of persistent connections to targets.
 class TargetPool {
 public:
-  TargetPool(asio::io_context &io, std::int64_t maxBodyBytes)
-      : Io(io), MaxBodyBytes(maxBodyBytes) {}
+  /// \param maxBodyBytes limit of one response's body.
+  /// \param budget limits the bodies of all responses together.
+  TargetPool(asio::io_context &io, std::int64_t maxBodyBytes,
+             std::shared_ptr<ByteBudget> budget)
+      : Io(io), MaxBodyBytes(maxBodyBytes), Budget(std::move(budget)) {}
 
   /// Receives the connection, or null when none could be opened.
   using ReadyCallback = std::function<void(std::shared_ptr<HttpConnection>)>;
@@ -40,6 +43,7 @@
 private:
   asio::io_context &Io;
   std::int64_t MaxBodyBytes;
+  std::shared_ptr<ByteBudget> Budget;
   std::map<TargetId, std::vector<std::shared_ptr<HttpConnection>>> Idle;
 };
 
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -40,8 +40,15 @@
 /// The store counts as unreachable after this time without a response. A failed
 /// call is logged only if no other call failed for this time before it.
 constexpr Duration StoreUnreachableAfter = Millis(3200);
-/// Largest response of a target; a VM with 256 MB of memory can hold several.
+/// Largest response of a target.
 constexpr std::int64_t MaxResponseBytes = 32 << 20;
+/// Limits of the bodies that are held at one time: the responses of all targets
+/// until callers have received them, and the requests of all callers. The
+/// smallest VMs have 160 MB; a request may have 64 MB.
+constexpr std::int64_t ResponseBudgetBytes = 40 << 20;
+constexpr std::int64_t RequestBudgetBytes = 72 << 20;
+/// Retry-After value of a response to a request whose body does not fit.
+constexpr Duration NoMemoryRetryAfter = Millis(500);
 /// How long a VM accepts callers after the stop signal, and the part of the
 /// grace period that is reserved for ending the process.
 constexpr Duration AcceptAfterStop = Millis(2800);
@@ -55,6 +62,11 @@
   return platform::localResponse(status, reason, Duration::zero());
 }
 
+HttpMessage rejectCaller(int status, const char *reason) {
+  return platform::localResponse(
+      status, reason, status == 503 ? NoMemoryRetryAfter : Duration::zero());
+}
+
 std::string makeStartId() {
   std::random_device random;
   std::ostringstream out;
@@ -96,9 +108,12 @@
 VmDaemon::VmDaemon(asio::io_context &io, const VmSettings &settings,
                    std::string settingsFile)
     : Io(io), Settings(settings), SettingsFile(std::move(settingsFile)),
-      State(initialState(settings)), Pool(io, MaxResponseBytes),
+      State(initialState(settings)),
+      Pool(io, MaxResponseBytes,
+           std::make_shared<ByteBudget>(ResponseBudgetBytes)),
       Callers(
-          io, [this](const auto &request) { serveCaller(request); }, rejection),
+          io, [this](const auto &request) { serveCaller(request); },
+          rejectCaller),
       Readiness(
           io, [this](const auto &request) { serveReadiness(request); },
           rejection),
@@ -134,6 +149,7 @@
                    writeVmEntry(State.Fleet.Self), settings.MinLease),
       Ticker(io), Signals(io, SIGTERM, SIGHUP, SIGINT) {
   setBounds(State, Settings);
+  Callers.setBodyBudget(std::make_shared<ByteBudget>(RequestBudgetBytes));
 }
 
 bool VmDaemon::start() {
