--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -2,7 +2,8 @@
 
 #include "savorylb/clock.h"
 
-#include <cstdlib>
+#include <charconv>
+#include <cstring>
 #include <netinet/tcp.h>
 
 namespace savorylb {
@@ -26,7 +27,12 @@
   std::size_t at = text->find("timeout=");
   if (at == std::string::npos)
     return std::nullopt;
-  return Duration(Seconds(std::atoi(text->c_str() + at + 8)));
+  unsigned short seconds = 0;
+  auto read = std::from_chars(text->data() + at + std::strlen("timeout="),
+                              text->data() + text->size(), seconds);
+  if (read.ec != std::errc())
+    return std::nullopt;
+  return Duration(Seconds(seconds));
 }
 
 const char *rejectReason(ReadError error) {
@@ -54,10 +60,14 @@
     return std::nullopt;
   boost::system::error_code ec;
   auto ip = asio::ip::make_address_v4(address.substr(0, colon), ec);
-  int port = std::atoi(address.c_str() + colon + 1);
-  if (ec || port <= 0 || port > 65535)
+  // atoi() has undefined behaviour for large numbers and accepts other text
+  // behind the digits.
+  std::uint16_t port = 0;
+  const char *end = address.data() + address.size();
+  auto read = std::from_chars(address.data() + colon + 1, end, port);
+  if (ec || read.ec != std::errc() || read.ptr != end || port == 0)
     return std::nullopt;
-  return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
+  return asio::ip::tcp::endpoint(ip, port);
 }
 
 HttpConnection::HttpConnection(const asio::any_io_executor &io,
