Reject entries and messages of VMs with odd addresses and numbers

A VM's entry with an address such as 127.0.0.1:80x was returned to callers by lookups. Numbers of 1e300 in a team's usage made the ledger's level useless for good, and large counts and times overflowed in sums. An entry under the key of another VM was taken over, too.

Addresses must be ip:port, counts and times 0 to 1e9, rates finite; other values are ignored or the message is rejected. The log has the parsed status of a rollout instead of the document's text, which may be long.

Before: OddVmEntriesAreRejected ('127.0.0.1:80x') and OddNumbersInMessagesAreRejected ('[1e300,1,1]') failed. ListIsFollowedPastOddEntries passed before; it guards that the list is followed past odd entries of all kinds.

--- a/src/savoryvm/peer_codec.cpp
+++ b/src/savoryvm/peer_codec.cpp
@@ -1,7 +1,9 @@
 #include "peer_codec.h"
 
+#include "http_connection.h"
 #include "json_read.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace savorylb {
@@ -13,6 +15,19 @@
 using platform::stringMember;
 using platform::writeJson;
 
+/// Bounds of the numbers in messages, so that sums of them do not overflow.
+constexpr double MaxRate = 1e9;
+constexpr std::int64_t MaxCount = 1'000'000'000;
+
+/// \returns whether a value is a finite number of at most MaxRate.
+bool isRate(const Json::Value &value) {
+  return value.isNumeric() && std::fabs(value.asDouble()) <= MaxRate;
+}
+
+bool isCount(const Json::Value &value) {
+  return value.isInt64() && value.asInt64() >= 0 && value.asInt64() <= MaxCount;
+}
+
 Json::Value entryValue(const VmEntry &entry) {
   Json::Value value;
   value["vm"] = entry.Vm.Value;
@@ -34,6 +49,8 @@
   entry.StartId = stringMember(value, "start").value_or("");
   if (entry.Vm.empty() || entry.CallerAddress.empty())
     return failure(ErrorCode::Malformed, "the VM entry lacks a required field");
+  if (!parseEndpoint(entry.CallerAddress) || !parseEndpoint(entry.PeerAddress))
+    return failure(ErrorCode::Malformed, "the VM entry has an invalid address");
   return entry;
 }
 
@@ -47,8 +64,8 @@
 
 VersionTally readTally(const Json::Value &value) {
   VersionTally tally;
-  if (!value.isArray() || value.size() != 3 || !value[0].isInt64() ||
-      !value[1].isInt64() || !value[2].isInt64())
+  if (!value.isArray() || value.size() != 3 || !isCount(value[0]) ||
+      !isCount(value[1]) || !isCount(value[2]))
     return tally;
   tally.Responses = value[0].asInt64();
   tally.Failures = value[1].asInt64();
@@ -93,8 +110,8 @@
   if (usages.isObject())
     for (const std::string &it : usages.getMemberNames()) {
       const Json::Value &row = usages[it];
-      if (!row.isArray() || row.size() != 3 || !row[0].isNumeric() ||
-          !row[1].isNumeric() || !row[2].isInt64())
+      if (!row.isArray() || row.size() != 3 || !isRate(row[0]) ||
+          !isRate(row[1]) || !isCount(row[2]))
         return failure(ErrorCode::Malformed,
                        "a team's usage is not an array of three numbers");
       message.Usages[TeamId(it)] = {row[0].asDouble(), row[1].asDouble(),
@@ -103,8 +120,9 @@
   const Json::Value &fractions = member(*value, "parts");
   if (fractions.isObject())
     for (const std::string &it : fractions.getMemberNames())
-      if (fractions[it].isNumeric())
-        message.Fractions[TeamId(it)] = fractions[it].asDouble();
+      if (isRate(fractions[it]))
+        message.Fractions[TeamId(it)] =
+            std::clamp(fractions[it].asDouble(), 0.0, 1.0);
   return message;
 }
 
@@ -144,8 +162,8 @@
   const Json::Value &demand = member(*value, "demand");
   if (demand.isObject())
     for (const std::string &it : demand.getMemberNames())
-      if (demand[it].isNumeric())
-        report.Demand[TeamId(it)] = demand[it].asDouble();
+      if (isRate(demand[it]))
+        report.Demand[TeamId(it)] = std::max(0.0, demand[it].asDouble());
   const Json::Value &rollouts = member(*value, "rollouts");
   if (rollouts.isObject())
     for (const std::string &it : rollouts.getMemberNames()) {
@@ -153,7 +171,8 @@
       PeerReport::Rollout rollout;
       rollout.OrderRevision =
           Revision(integerMember(in, "ordered").value_or(0));
-      rollout.Elapsed = Millis(integerMember(in, "elapsed_ms").value_or(0));
+      if (isCount(member(in, "elapsed_ms")))
+        rollout.Elapsed = Millis(in["elapsed_ms"].asInt64());
       rollout.Bad = member(in, "bad").isBool() && in["bad"].asBool();
       const Json::Value &routes = member(in, "routes");
       if (routes.isObject())
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -176,6 +176,8 @@
       auto entry =
           it.Removed ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
                      : readVmEntry(it.Value);
+      if (entry && entry.value().Vm != vm)
+        entry = failure(ErrorCode::Malformed, "the VM entry has another name");
       if (entry) {
         State.Fleet.Registered[vm] = entry.value();
         logEvent(EventCode::PeerUp, {{"peer", vm.Value}});
@@ -195,7 +197,9 @@
       status.value().StatusRevision = it.ModRevision;
       applyRolloutStatus(State, ServiceId(key.Subject), status.value());
       logEvent(EventCode::RolloutStepped,
-               {{"service", key.Subject}, {"status", it.Value}});
+               {{"service", key.Subject},
+                {"status", platform::writeRolloutStatus(
+                               status.value().State, status.value().Version)}});
     }
   }
 }
