Keep requests without an attempt id off used connections

A faulty target wrote an earlier refusal once more on a kept connection. For a request without an attempt id nothing tells that response apart, so the caller was told that a request had not run which the target was running. And a connection on which a response to another request had arrived was used again.

A request without an attempt id now opens its own connection, which is not kept. A connection on which a foreign response arrived is closed after its exchange.

Before: RequestWithoutAttemptIdUsesItsOwnConnection: expected 200 but was 503; ConnectionIsNotReusedAfterAForeignResponse: expected 503 (on a new connection) but was 200 (on the old one). Requests with an id skipped earlier refusals before; EarlierRefusalIsNoAnswer, SurplusResponseEndsTheConnection and OwnRefusalIsRetried guard that.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -227,6 +227,7 @@
       finish(ExchangeOutcome::Broken);
       return;
     }
+    SawForeign |= !interim;
     if (!skipResponse(message)) {
       RejectReason = "too-many-responses";
       finish(ExchangeOutcome::Broken);
@@ -247,10 +248,11 @@
   IdleSince = monoNow();
   Timer.cancel();
   Reader.reset();
-  // The connection cannot be reused after surplus bytes behind the response or
-  // an incompletely sent request.
+  // The connection cannot be reused after surplus bytes behind the response, a
+  // response to another request, which may come again, or an incompletely sent
+  // request.
   if (outcome != ExchangeOutcome::Answered || !message.KeepAlive || Writing ||
-      !Open || !Buffer.empty()) {
+      !Open || SawForeign || !Buffer.empty()) {
     close();
   } else {
     KeepAliveTimeout = parseKeepAliveTimeout(message);
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -96,6 +96,8 @@
   /// their bodies.
   int SkippedResponses = 0;
   std::size_t SkippedBytes = 0;
+  /// A response to another request arrived on the connection.
+  bool SawForeign = false;
   bool Open = false;
   bool Busy = false;
   bool Reading = false;
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -105,9 +105,11 @@
   CurrentSend.SentAt = now;
   recordSend(State, Steered, target, now);
   bool retryable = Steered.Route->Retry == RetryRule::Retryable;
+  std::optional<Duration> maxIdle;
+  if (hasAttemptId())
+    maxIdle = retryable ? MaxIdleRetryable : MaxIdleAtMostOnce;
   auto self = shared_from_this();
-  Pool.acquire(target.Entry.Id, target.Entry.Address,
-               retryable ? MaxIdleRetryable : MaxIdleAtMostOnce,
+  Pool.acquire(target.Entry.Id, target.Entry.Address, maxIdle,
                [self](std::shared_ptr<HttpConnection> connection) {
                  self->onConnected(std::move(connection));
                });
@@ -207,7 +209,10 @@
 
 void RequestProxy::onResponse(HttpMessage &response) {
   platform::TargetReply reply = platform::readTargetReply(response);
-  Pool.release(CurrentSend.Target, CurrentSend.Connection);
+  if (hasAttemptId())
+    Pool.release(CurrentSend.Target, CurrentSend.Connection);
+  else
+    CurrentSend.Connection->close();
   if (reply.NotExecuted || reply.Misdirected) {
     MayHaveRun = EarlierMayHaveRun;
     recordSendResult(reply.Misdirected ? TargetResult::Unreachable
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -32,6 +32,9 @@
     MonoTime SentAt{};
   };
 
+  /// \returns whether late responses to earlier requests can be told apart. A
+  ///          request for which they cannot uses a connection of its own.
+  bool hasAttemptId() const { return !Metadata.AttemptId.empty(); }
   void place();
   void send(const PlacementChoice &choice);
   void onConnected(std::shared_ptr<HttpConnection> connection);
--- a/src/savoryvm/target_pool.cpp
+++ b/src/savoryvm/target_pool.cpp
@@ -29,14 +29,15 @@
 } // namespace
 
 void TargetPool::acquire(const TargetId &target, const std::string &address,
-                         Duration maxIdle, const ReadyCallback &ready) {
+                         std::optional<Duration> maxIdle,
+                         const ReadyCallback &ready) {
   auto &idle = Idle[target];
   MonoTime now = monoNow();
-  while (!idle.empty()) {
+  while (maxIdle && !idle.empty()) {
     auto connection = idle.back();
     idle.pop_back();
     Duration age = now - connection->IdleSince;
-    if (connection->reusable() && age <= maxIdle &&
+    if (connection->reusable() && age <= *maxIdle &&
         age <= idleLimit(*connection)) {
       ready(connection);
       return;
--- a/src/savoryvm/target_pool.h
+++ b/src/savoryvm/target_pool.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace savorylb {
@@ -25,10 +26,11 @@
 
   /// Reuses an idle connection to a target or opens a new one.
   /// \param address `ip:port` of the target.
-  /// \param maxIdle connections that have been idle for longer are closed.
+  /// \param maxIdle connections that have been idle for longer are closed;
+  ///        nothing to open a new connection in any case.
   /// \param ready called with the connection; Exchanges is 0 for a new one.
   void acquire(const TargetId &target, const std::string &address,
-               Duration maxIdle, const ReadyCallback &ready);
+               std::optional<Duration> maxIdle, const ReadyCallback &ready);
 
   /// Returns a connection to the pool after an exchange.
   void release(const TargetId &target,
--- a/src/standins/platform/platform_caller.cpp
+++ b/src/standins/platform/platform_caller.cpp
@@ -14,10 +14,11 @@
   message.Path = request.Path;
   message.Body = request.Body;
   message.Fields = {{"Host", request.Host},
-                    {"Savorylb-Attempt-Id", request.Attempt},
                     {"Savorylb-Deadline-Milliseconds",
                      std::to_string(request.Timeout.count())},
                     {"Cookie", "Savorylb-Affinity-Key=" + request.AffinityKey}};
+  if (request.SendsAttempt)
+    message.Fields.emplace_back("Savorylb-Attempt-Id", request.Attempt);
   if (!request.Key.empty())
     message.Fields.emplace_back("Authorization", "Token " + request.Key);
   return message;
--- a/src/standins/platform/platform_caller.h
+++ b/src/standins/platform/platform_caller.h
@@ -17,6 +17,8 @@
   std::string Key = "key-1";
   std::string AffinityKey = "17";
   std::string Attempt;
+  /// The request carries its attempt id.
+  bool SendsAttempt = true;
   std::string Body;
   Millis Timeout{2000};
 };
