--- a/src/savoryvm/repeated_response_test.cpp
+++ b/src/savoryvm/repeated_response_test.cpp
@@ -35,8 +35,8 @@
 /// A target that answers the first request of a connection as \p first and the
 /// later ones as \p later.
 ScriptedServer::Script
-script(Runs &runs, std::function<std::string(const std::string &)> first,
-       std::function<std::string(const std::string &)> later) {
+script(Runs &runs, const std::function<std::string(const std::string &)> &first,
+       const std::function<std::string(const std::string &)> &later) {
   return [&runs, first, later](const HttpMessage &request, int nth) {
     std::string attempt = attemptOf(request);
     ScriptedReply reply;
