--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -2,7 +2,8 @@
 
 #include "savorylb/clock.h"
 
-#include <cstdlib>
+#include <charconv>
+#include <cstring>
 #include <netinet/tcp.h>
 
 namespace savorylb {
@@ -10,6 +11,12 @@
 
 constexpr std::size_t ReadBufferBytes = 16'384;
 constexpr std::int64_t MaxResponseHeadBytes = 65'536;
+/// Interim and skipped responses that are read before the response to one
+/// request. A late response to an earlier request is rare, so more of them come
+/// from a faulty peer that would otherwise be read until the timeout.
+constexpr int MaxSkippedResponses = 8;
+/// The same for the bytes of their bodies.
+constexpr std::size_t MaxSkippedBytes = 4 << 20;
 /// The kernel closes a connection whose data is unacknowledged for this long.
 constexpr int TcpUserTimeoutMs = 1500;
 
@@ -20,7 +27,28 @@
   std::size_t at = text->find("timeout=");
   if (at == std::string::npos)
     return std::nullopt;
-  return Duration(Seconds(std::atoi(text->c_str() + at + 8)));
+  unsigned short seconds = 0;
+  auto read = std::from_chars(text->data() + at + std::strlen("timeout="),
+                              text->data() + text->size(), seconds);
+  if (read.ec != std::errc())
+    return std::nullopt;
+  return Duration(Seconds(seconds));
+}
+
+const char *rejectReason(ReadError error) {
+  switch (error) {
+  case ReadError::HeaderTooLarge:
+    return "head-too-large";
+  case ReadError::BodyTooLarge:
+    return "body-too-large";
+  case ReadError::NoMemory:
+    return "no-memory";
+  case ReadError::Malformed:
+    return "malformed";
+  case ReadError::None:
+    break;
+  }
+  return nullptr;
 }
 
 } // namespace
@@ -32,16 +60,21 @@
     return std::nullopt;
   boost::system::error_code ec;
   auto ip = asio::ip::make_address_v4(address.substr(0, colon), ec);
-  int port = std::atoi(address.c_str() + colon + 1);
-  if (ec || port <= 0 || port > 65535)
+  // atoi() has undefined behaviour for large numbers and accepts other text
+  // behind the digits.
+  std::uint16_t port = 0;
+  const char *end = address.data() + address.size();
+  auto read = std::from_chars(address.data() + colon + 1, end, port);
+  if (ec || read.ec != std::errc() || read.ptr != end || port == 0)
     return std::nullopt;
-  return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
+  return asio::ip::tcp::endpoint(ip, port);
 }
 
 HttpConnection::HttpConnection(const asio::any_io_executor &io,
-                               std::int64_t maxBodyBytes)
+                               std::int64_t maxBodyBytes,
+                               std::shared_ptr<ByteBudget> budget)
     : Socket(io), Timer(io), MaxBodyBytes(maxBodyBytes),
-      ReadBuffer(ReadBufferBytes, 0) {}
+      Budget(std::move(budget)), ReadBuffer(ReadBufferBytes, 0) {}
 
 void HttpConnection::connect(const std::string &address, Duration timeout,
                              const std::function<void(bool)> &done) {
@@ -79,16 +112,23 @@
       });
 }
 
+void HttpConnection::expectResponse() {
+  Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes, MaxBodyBytes,
+                 Budget);
+  if (Current.IsHeadRequest)
+    Reader->expectNoBody();
+}
+
 void HttpConnection::start(Exchange exchange) {
   auto self = shared_from_this();
   Current = std::move(exchange);
   Busy = true;
   Writing = true;
   std::uint64_t generation = ++Generation;
-  Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes,
-                 MaxBodyBytes);
-  if (Current.IsHeadRequest)
-    Reader->expectNoBody();
+  SkippedResponses = 0;
+  SkippedBytes = 0;
+  RejectReason = nullptr;
+  expectResponse();
   Timer.expires_after(Current.Timeout);
   Timer.async_wait([self, generation](const boost::system::error_code &ec) {
     if (!ec && self->Generation == generation && self->Busy)
@@ -118,6 +158,8 @@
   ++Generation;
   Current = Exchange();
   Timer.cancel();
+  Reader.reset();
+  Buffer = std::string();
   boost::system::error_code ignored; // The socket is discarded in any case.
   Socket.close(ignored);
 }
@@ -151,12 +193,22 @@
   readResponse(ec == asio::error::eof);
 }
 
+/// Counts an interim response or one to another request.
+/// \returns whether the exchange can continue.
+bool HttpConnection::skipResponse(const HttpMessage &message) {
+  ++SkippedResponses;
+  SkippedBytes += message.Body.size();
+  return SkippedResponses <= MaxSkippedResponses &&
+         SkippedBytes <= MaxSkippedBytes;
+}
+
 void HttpConnection::readResponse(bool ended) {
   while (true) {
     ReadState state = Reader->read(Buffer);
     if (state == ReadState::NeedMore && ended)
       state = Reader->started() ? Reader->readEof() : ReadState::Invalid;
     if (state == ReadState::Invalid) {
+      RejectReason = rejectReason(Reader->error());
       finish(ExchangeOutcome::Broken);
       return;
     }
@@ -177,10 +229,13 @@
       finish(ExchangeOutcome::Broken);
       return;
     }
-    Reader.emplace(HttpReader::Kind::Response, MaxResponseHeadBytes,
-                   MaxBodyBytes);
-    if (Current.IsHeadRequest)
-      Reader->expectNoBody();
+    SawForeign |= !interim;
+    if (!skipResponse(message)) {
+      RejectReason = "too-many-responses";
+      finish(ExchangeOutcome::Broken);
+      return;
+    }
+    expectResponse();
   }
 }
 
@@ -194,10 +249,12 @@
   ++Exchanges;
   IdleSince = monoNow();
   Timer.cancel();
-  // The connection cannot be reused after surplus bytes behind the response or
-  // an incompletely sent request.
+  Reader.reset();
+  // The connection cannot be reused after surplus bytes behind the response, a
+  // response to another request, which may come again, or an incompletely sent
+  // request.
   if (outcome != ExchangeOutcome::Answered || !message.KeepAlive || Writing ||
-      !Open || !Buffer.empty()) {
+      !Open || SawForeign || !Buffer.empty()) {
     close();
   } else {
     KeepAliveTimeout = parseKeepAliveTimeout(message);
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -46,7 +46,10 @@
 /// An HTTP client connection that carries one exchange at a time.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
-  HttpConnection(const asio::any_io_executor &io, std::int64_t maxBodyBytes);
+  /// \param maxBodyBytes limit of one response's body.
+  /// \param budget charged with the bodies of responses, or null.
+  HttpConnection(const asio::any_io_executor &io, std::int64_t maxBodyBytes,
+                 std::shared_ptr<ByteBudget> budget = nullptr);
 
   /// Opens the connection asynchronously.
   /// \param address `ip:port`.
@@ -69,8 +72,13 @@
   MonoTime IdleSince{};
   /// Time that the connection took to open.
   Duration ConnectTime{0};
+  /// Why the bytes of the last exchange were rejected; null if the connection
+  /// itself failed.
+  const char *RejectReason = nullptr;
 
 private:
+  void expectResponse();
+  bool skipResponse(const HttpMessage &message);
   void readMore();
   void onRead(const boost::system::error_code &ec, std::size_t n);
   void readResponse(bool ended);
@@ -79,10 +87,17 @@
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
   std::int64_t MaxBodyBytes;
+  std::shared_ptr<ByteBudget> Budget;
   std::string Buffer;
   std::string ReadBuffer;
   std::optional<HttpReader> Reader;
   Exchange Current;
+  /// Interim and skipped responses of the current exchange, and the bytes of
+  /// their bodies.
+  int SkippedResponses = 0;
+  std::size_t SkippedBytes = 0;
+  /// A response to another request arrived on the connection.
+  bool SawForeign = false;
   bool Open = false;
   bool Busy = false;
   bool Reading = false;
--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -115,7 +115,7 @@
     bool first = !readerStarted();
     if (first)
       Reader.emplace(HttpReader::Kind::Request, Server.Limits.MaxHeaderBytes,
-                     Server.Limits.MaxBodyBytes);
+                     Server.Limits.MaxBodyBytes, Server.BodyBudget);
     ReadState state = Reader->read(Buffer);
     if (first && readerStarted()) {
       ArrivedAt = monoNow();
@@ -145,10 +145,14 @@
     case ReadError::BodyTooLarge:
       reject(413, "body-too-large");
       break;
+    case ReadError::NoMemory:
+      reject(503, "body-memory");
+      break;
     default:
       reject(400, "malformed");
       break;
     }
+    Reader.reset(); // Releases the part of the body that was read.
   }
 
   /// Sends `100 Continue` if the request has an Expect field.
@@ -250,6 +254,8 @@
     std::array<asio::const_buffer, 2> parts = {asio::buffer(*head),
                                                asio::buffer(*body)};
     auto self = shared_from_this();
+    // The body stays charged to its budget until it is written.
+    auto memory = response.Memory;
     // Called before each partial write.
     auto restartTimer = [self](const boost::system::error_code &ec,
                                std::size_t n) {
@@ -258,7 +264,7 @@
       return asio::transfer_all()(ec, n);
     };
     asio::async_write(Socket, parts, restartTimer,
-                      [self, head, body, closeAfter](
+                      [self, head, body, memory, closeAfter](
                           const boost::system::error_code &ec, std::size_t) {
                         self->onSent(ec, closeAfter);
                       });
--- a/src/savoryvm/vm_daemon_test.cpp
+++ b/src/savoryvm/vm_daemon_test.cpp
@@ -5,19 +5,6 @@
 using namespace savorylb;
 using namespace savorylb::standin;
 
-namespace {
-
-CallerRequest permitRequest(const std::string &attempt) {
-  CallerRequest request;
-  request.Method = "POST";
-  request.Path = "/permits/1";
-  request.Body = "zone 7";
-  request.Attempt = attempt;
-  return request;
-}
-
-} // namespace
-
 TEST_GROUP(VmDaemon){};
 
 // Guards against a break anywhere on the path from the caller to the target and
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -198,6 +198,8 @@
   auto entry = item.Removed
                    ? Result<VmEntry>(failure(ErrorCode::NotFound, "removed"))
                    : readVmEntry(item.Value);
+  if (entry && entry.value().Vm != vm)
+    entry = failure(ErrorCode::Malformed, "the VM entry has another name");
   if (entry) {
     if (isOutdatedVm(item, entry.value(), monoNow()))
       return;
@@ -231,7 +233,9 @@
   status.value().StatusRevision = item.ModRevision;
   applyRolloutStatus(State, service, status.value());
   logEvent(EventCode::RolloutStepped,
-           {{"service", service.Value}, {"status", item.Value}});
+           {{"service", service.Value},
+            {"status", platform::writeRolloutStatus(status.value().State,
+                                                    status.value().Version)}});
 }
 
 void VmDaemon::applyPendingRemovals(MonoTime now) {
--- a/src/savoryvm/vm_fixture.h
+++ b/src/savoryvm/vm_fixture.h
@@ -75,6 +75,16 @@
   }
 };
 
+/// \returns an at-most-once request.
+inline CallerRequest permitRequest(const std::string &attempt) {
+  CallerRequest request;
+  request.Method = "POST";
+  request.Path = "/permits/1";
+  request.Body = "zone 7";
+  request.Attempt = attempt;
+  return request;
+}
+
 } // namespace savorylb::standin
 
 #endif // SAVORYLB_VM_FIXTURE_H
--- a/src/standins/platform/simulated_platform.cpp
+++ b/src/standins/platform/simulated_platform.cpp
@@ -7,6 +7,7 @@
 
 constexpr int StorePort = 8601;
 constexpr int TargetPort = 8610;
+constexpr int ScriptedPort = 8650;
 constexpr int CallerPort = 8701;
 constexpr int ReadyPort = 8702;
 constexpr int LookupPort = 8703;
@@ -58,6 +59,19 @@
   return *Targets.back();
 }
 
+ScriptedServer &
+SimulatedPlatform::addScriptedTarget(const std::string &service,
+                                     ScriptedServer::Script script) {
+  int n = static_cast<int>(ScriptedTargets.size());
+  std::string address = loopbackAddress(Net, 100, ScriptedPort + n);
+  ScriptedTargets.push_back(
+      std::make_unique<ScriptedServer>(Io, std::move(script)));
+  ScriptedTargets.back()->listen(address);
+  Store.put("servers/s-" + std::to_string(n),
+            targetEntry(address, service, "tema-a"));
+  return *ScriptedTargets.back();
+}
+
 void SimulatedPlatform::configure(const std::vector<std::string> &keys,
                                   const ConfigTimeouts &timeouts) {
   Json::Value config;
@@ -71,7 +85,7 @@
     config["services"][it]["warmupPerS"] = 9.3;
   }
   config["limits"]["maxHeaderBytes"] = 16384;
-  config["limits"]["maxBodyBytes"] = 1048576;
+  config["limits"]["maxBodyBytes"] = static_cast<Json::Int64>(MaxBodyBytes);
   config["limits"]["headerTimeout"] = "3000ms";
   config["limits"]["idleTimeout"] = milliseconds(timeouts.Idle);
   Json::Value &team = config["tenants"]["port"];
