--- a/src/savorysoak/caller_load.cpp
+++ b/src/savorysoak/caller_load.cpp
@@ -2,6 +2,8 @@
 
 #include "savorylb/clock.h"
 
+#include <algorithm>
+
 namespace savorylb::soak {
 namespace {
 
--- a/src/savorysoak/caller_load.h
+++ b/src/savorysoak/caller_load.h
@@ -3,6 +3,7 @@
 
 #include "soak_fleet.h"
 
+#include <optional>
 #include <random>
 
 namespace savorylb::soak {
--- a/src/savorysoak/fault_injector.cpp
+++ b/src/savorysoak/fault_injector.cpp
@@ -4,6 +4,7 @@
 #include "savorylb/clock.h"
 
 #include <csignal>
+#include <cstdio>
 #include <sstream>
 
 namespace savorylb::soak {
--- a/src/savorysoak/soak_fleet.h
+++ b/src/savorysoak/soak_fleet.h
@@ -7,6 +7,7 @@
 #include "vm_process.h"
 
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
