Stop using targets that announce their departure

A target that shuts down now says so in all its responses (`Server-Leaving: 1`), often before its entry in the store says `draining`. savoryvm knew only the entry, so such a target went on receiving requests until the watch delivered the change, or for good if its entry stayed `ready`.

The field is decoded into TargetReply. Any response that is accepted as the answer to a request marks the process start that sent it: success, refusal, failure, and responses that are discarded because they are not signed or are encoded. Status 421 does not, as it comes from another target. A marked target is no candidate for requests or retries until an entry with another start or address arrives. Idle connections are closed when the target is marked; connections in use are closed when their exchange ends.

Opening a connection may take 700 ms. The target is therefore checked again before transmission; if it has become unusable (leaving, draining, evacuated, removed or restarted), the request is placed again without counting as a send or a retry. A changed address now also closes the idle connections to the old one.

Tests failing before, with the stand-in's new field: SendsNothingToLeavingTargetUntilItsRestart LONGS_EQUAL(1, first.Received): expected 1, but was 23 TargetIsStillLeavingWhenItsEntryReturns LONGS_EQUAL(503, result.Status): expected 503, but was 200 Without the check before transmission: TargetThatLeavesDuringConnectGetsNothing LONGS_EQUAL(503, Response.Status): expected 503, but was 200 RequestIsPlacedAgainWhenItsTargetDrainsDuringConnect LONGS_EQUAL(0, fixture.First.Received): expected 0, but was 1 Without closing idle connections: OnlyIdleConnectionsToLeavingTargetAreClosed CHECK_TRUE(waitUntil(connections() == 1, 200 ms)) failed The unit tests of target_availability use new functions and were not run on the earlier code.

--- a/src/libsavorysteer/steering_documents.cpp
+++ b/src/libsavorysteer/steering_documents.cpp
@@ -27,6 +27,7 @@
   TargetState &target = it->second;
   if (added) {
     target.Entry = entry;
+    restoreNotices(state, target);
     if (entry.WarmupLeft > Millis::zero())
       target.ColdUntil = now + entry.WarmupLeft;
   } else {
@@ -35,8 +36,12 @@
   target.Region = regionOf(state, entry.Zone);
 }
 
-void eraseTarget(SteeringState &state, const TargetId &target) {
-  state.Targets.erase(target);
+void eraseTarget(SteeringState &state, const TargetId &target, MonoTime now) {
+  auto found = state.Targets.find(target);
+  if (found == state.Targets.end())
+    return;
+  retainNotices(state, found->second, now);
+  state.Targets.erase(found);
 }
 
 void applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -177,15 +177,13 @@
       rule == request.Config->Services.end() ? 0 : rule->second.WarmupPerSecond;
   for (auto &[id, target] : state.Targets) {
     const TargetEntry &entry = target.Entry;
-    if (entry.Service != request.Service || entry.Draining)
+    if (entry.Service != request.Service || !takesNewRequests(state, target))
       continue;
     if (!versions.Only.empty() && entry.Version != versions.Only)
       continue;
     if (!versions.Excluded.empty() && entry.Version == versions.Excluded)
       continue;
-    if (isSuspended(target, now))
-      continue;
-    if (state.Evacuated.count(entry.Zone) ||
+    if (isSuspended(target, now) ||
         !regionAllowed(*request.Route, request.MatchedTeamRule, target.Region))
       continue;
     if (now < target.ColdUntil && perSecond > 0) {
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -7,6 +7,7 @@
 #include "retry_window.h"
 #include "rollout_stage.h"
 #include "steer_config.h"
+#include "target_availability.h"
 #include "target_state.h"
 #include "team_ledger.h"
 #include "team_limit.h"
@@ -60,6 +61,8 @@
   /// Revision of the newest operators' document.
   Revision DocumentsRevision;
   std::map<TargetId, TargetState> Targets;
+  /// Notices of targets whose entries were removed.
+  std::map<TargetId, RetainedNotices> Retained;
   std::map<ServiceId, ServiceState> Services;
   /// This VM's own token buckets, used while a ledger's owner is unreachable,
   /// and the demands.
@@ -180,7 +183,8 @@
 /// Adds a target or replaces its entry; the caller passes entries in order. See
 /// updateEntry() for what a restart resets.
 void updateTarget(SteeringState &state, const TargetEntry &entry, MonoTime now);
-void eraseTarget(SteeringState &state, const TargetId &target);
+/// Removes a target; its notices are retained in case its entry returns.
+void eraseTarget(SteeringState &state, const TargetId &target, MonoTime now);
 
 void applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
                        MonoTime now);
--- a/src/libsavorysteer/steering_state_test.cpp
+++ b/src/libsavorysteer/steering_state_test.cpp
@@ -200,7 +200,7 @@
   admitRequest(state, request, "maps.example", "/tiles/1", "key-1", Start);
   PlacementChoice choice = chooseTarget(state, request, Start);
   STRCMP_EQUAL("i-2", choice.Target->Entry.Id.Value.c_str());
-  eraseTarget(state, TargetId("i-2"));
+  eraseTarget(state, TargetId("i-2"), Start);
   choice = chooseTarget(state, request, Start);
   POINTERS_EQUAL(nullptr, choice.Target);
 }
--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -79,6 +79,7 @@
     target.Objects.clear();
     target.Suspended = false;
     target.Suspension = Duration::zero();
+    target.Notices = TargetNotices();
   }
   target.Entry = entry;
   if (!restarted && entry.Slots <= 0)
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -16,10 +16,17 @@
   int Slots = 0;
 };
 
+/// What a target told about its use in responses, valid for one process start.
+struct TargetNotices {
+  /// The target is shutting down.
+  bool Leaving = false;
+};
+
 /// This VM's state for one target.
 struct TargetState {
   TargetEntry Entry;
   RegionId Region;
+  TargetNotices Notices;
   /// Send times of this VM's requests that are still unanswered.
   std::deque<MonoTime> InFlight;
   /// Requests of other VMs at the target according to the last load report.
@@ -106,7 +113,7 @@
 
 /// Replaces the target's entry; the caller passes entries in order. A changed
 /// StartId or address counts as a restart, which resets the failure rate,
-/// slowness, load of other VMs, cached objects and suspension.
+/// slowness, load of other VMs, cached objects, suspension and notices.
 void updateEntry(TargetState &target, const TargetEntry &entry, MonoTime now);
 
 /// \returns the expected number of requests at the target, over all VMs.
--- a/src/libsavorysteer/target_state_test.cpp
+++ b/src/libsavorysteer/target_state_test.cpp
@@ -52,12 +52,14 @@
   TargetState target = makeTarget();
   recordResult(target, TargetResult::Unreachable, -1, Start);
   recordObject(target, "map-7", Start);
+  target.Notices.Leaving = true;
   TargetEntry entry = target.Entry;
   entry.StartId = 8;
   entry.WarmupLeft = Millis(3000);
   updateEntry(target, entry, Start + Seconds(1));
   CHECK_FALSE(isSuspended(target, Start + Seconds(1)));
   CHECK_TRUE(target.Objects.empty());
+  CHECK_FALSE(target.Notices.Leaving);
   CHECK_TRUE(target.ColdUntil == Start + Seconds(4));
 }
 
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -96,6 +96,7 @@
   TargetState &target = *choice.Target;
   CurrentSend = Send();
   CurrentSend.Target = target.Entry.Id;
+  CurrentSend.Start = startOf(target.Entry);
   CurrentSend.Version = target.Entry.Version;
   CurrentSend.ExpectedMs = choice.ExpectedMs;
   CurrentSend.ExpectedUncachedMs = choice.ExpectedUncachedMs;
@@ -114,7 +115,7 @@
 void RequestProxy::onConnected(std::shared_ptr<HttpConnection> connection) {
   if (Done) {
     if (connection)
-      Pool.release(CurrentSend.Target, connection);
+      releaseConnection(connection);
     return;
   }
   if (!connection) {
@@ -123,6 +124,13 @@
     retry("unreachable");
     return;
   }
+  // Opening the connection takes up to several 100 ms, during which the target
+  // may have announced its departure in response to another request.
+  if (!mayTransmit(State, CurrentSend.Start)) {
+    releaseConnection(connection);
+    placeAgain();
+    return;
+  }
   auto found = State.Targets.find(CurrentSend.Target);
   CurrentSend.Reused = connection->Exchanges > 0;
   if (!CurrentSend.Reused && found != State.Targets.end())
@@ -131,6 +139,44 @@
   transmit();
 }
 
+void RequestProxy::placeAgain() {
+  incrementCounter("sends_cancelled");
+  cancelSend(State, Steered, CurrentSend.Target, CurrentSend.SentAt);
+  PlacementChoice choice;
+  if (!tooLateToSend())
+    choice = chooseTarget(State, Steered, monoNow());
+  if (choice.Target) {
+    send(choice);
+    return;
+  }
+  CurrentSend.Target = TargetId(); // For the log.
+  const char *reason = tooLateToSend() ? "timeout" : choice.Reason;
+  if (MayHaveRun)
+    fail(502, reason);
+  else
+    refuse(503, reason, std::max(NotRunRetryAfter, choice.RetryAfter));
+}
+
+void RequestProxy::releaseConnection(
+    const std::shared_ptr<HttpConnection> &connection) {
+  if (mayTransmit(State, CurrentSend.Start))
+    Pool.release(CurrentSend.Target, connection);
+  else
+    connection->close();
+}
+
+void RequestProxy::applyNotices(const platform::TargetReply &reply) {
+  // A misdirected request was answered by another target.
+  if (reply.Misdirected)
+    return;
+  if (reply.Leaving && markLeaving(State, CurrentSend.Start, monoNow())) {
+    logEvent(EventCode::TargetDown, {{"target", CurrentSend.Target.Value},
+                                     {"reason", std::string("leaving")},
+                                     {"trace", Metadata.AttemptId.Value}});
+    Pool.drop(CurrentSend.Target);
+  }
+}
+
 void RequestProxy::transmit() {
   MonoTime now = monoNow();
   HttpMessage outgoing;
@@ -203,7 +249,8 @@
 
 void RequestProxy::onResponse(HttpMessage &response) {
   platform::TargetReply reply = platform::readTargetReply(response);
-  Pool.release(CurrentSend.Target, CurrentSend.Connection);
+  applyNotices(reply);
+  releaseConnection(CurrentSend.Connection);
   if (reply.NotExecuted || reply.Misdirected) {
     MayHaveRun = EarlierMayHaveRun;
     recordSendResult(reply.Misdirected ? TargetResult::Unreachable
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -23,6 +23,7 @@
   /// One transmission of the request to a target.
   struct Send {
     TargetId Target;
+    TargetStart Start;
     VersionId Version;
     std::shared_ptr<HttpConnection> Connection;
     bool Reused = false;
@@ -35,7 +36,15 @@
   void place();
   void send(const PlacementChoice &choice);
   void onConnected(std::shared_ptr<HttpConnection> connection);
+  /// Places the request again after its target became unusable before
+  /// transmission.
+  void placeAgain();
   void transmit();
+  /// Keeps the connection for later requests, or closes it if its target gets
+  /// no more.
+  void releaseConnection(const std::shared_ptr<HttpConnection> &connection);
+  /// Applies what the target told about its use.
+  void applyNotices(const platform::TargetReply &reply);
   void onExchangeEnd(ExchangeOutcome end, HttpMessage &response);
   void onResponse(HttpMessage &response);
   void recordSendResult(TargetResult result, int status,
--- /dev/null
+++ b/src/savoryvm/request_proxy_test.cpp
@@ -0,0 +1,119 @@
+#include "request_proxy.h"
+
+#include "platform_target.h"
+#include "savorylb/clock.h"
+
+// Redefines operator new; must be included after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+using namespace savorylb::standin;
+
+namespace {
+
+const ServiceId Tiles("tiles");
+constexpr const char *TargetId1 = "i-1";
+constexpr const char *TargetId2 = "i-2";
+
+/// Each test uses its own addresses; closed ones cannot be bound again at once.
+int NextHost = 1;
+
+/// A request proxy with two targets and no store.
+struct ProxyFixture {
+  asio::io_context Io;
+  SteeringState State;
+  TargetPool Pool{Io, 1 << 20};
+  PlatformStore Store{Io};
+  PlatformTarget First{Io, Store, TargetId1, "tiles", "tema-a", "v1"};
+  PlatformTarget Second{Io, Store, TargetId2, "tiles", "tema-a", "v1"};
+  HttpMessage Response;
+  bool Responded = false;
+
+  ProxyFixture() {
+    State.Zones = {{ZoneId("tema-a"), RegionId("tema")}};
+    State.Fleet.Self.Zone = ZoneId("tema-a");
+    State.Fleet.Self.Region = RegionId("tema");
+    SteerConfig config;
+    config.Version = 1;
+    RouteRule route;
+    route.Host = "maps.example";
+    route.PathPrefix = "/";
+    route.Timeout = Millis(2000);
+    route.LatencyTarget = Millis(250);
+    route.MaxTargets = 1;
+    route.Splits = {{Tiles, 1}};
+    config.Routes = {route};
+    applyConfig(State, config);
+    addTarget(First, TargetId1);
+  }
+
+  void addTarget(PlatformTarget &target, const char *id) {
+    TargetEntry entry;
+    entry.Id = TargetId(id);
+    entry.Address = "127.0.200." + std::to_string(NextHost++) + ":8610";
+    entry.Zone = ZoneId("tema-a");
+    entry.Service = Tiles;
+    entry.Version = VersionId("v1");
+    entry.Slots = 4;
+    entry.StartId = 7;
+    CHECK_TRUE(target.listen(entry.Address));
+    updateTarget(State, entry, monoNow());
+  }
+
+  TargetState &state(const char *id) { return State.Targets[TargetId(id)]; }
+
+  /// Starts a request; its connection to the target is then being opened.
+  void startRequest() {
+    auto request = std::make_shared<ServedRequest>();
+    request->Message.Method = "GET";
+    request->Message.Path = "/1";
+    request->Message.Fields = {{"Host", "maps.example"},
+                               {"Savorylb-Attempt-Id", "a-1"}};
+    request->ArrivedAt = monoNow();
+    request->Respond = [this](HttpMessage response) {
+      Response = std::move(response);
+      Responded = true;
+    };
+    std::make_shared<RequestProxy>(Io, State, Pool, request)->start();
+  }
+
+  void finishRequest() {
+    MonoTime end = monoNow() + Seconds(3);
+    while (!Responded && monoNow() < end) {
+      Io.run_for(std::chrono::milliseconds(5));
+      Io.restart();
+    }
+    CHECK_TRUE(Responded);
+  }
+};
+
+} // namespace
+
+TEST_GROUP(RequestProxy){};
+
+// Guards against transmitting a request after its target announced its
+// departure while the connection was being opened.
+TEST(RequestProxy, TargetThatLeavesDuringConnectGetsNothing) {
+  ProxyFixture fixture;
+  fixture.startRequest();
+  fixture.state(TargetId1).Notices.Leaving = true;
+  fixture.finishRequest();
+  LONGS_EQUAL(503, fixture.Response.Status);
+  CHECK_TRUE(findField(fixture.Response, "Retry-After") != nullptr);
+  LONGS_EQUAL(0, fixture.First.Received);
+  CHECK_TRUE(fixture.state(TargetId1).InFlight.empty());
+}
+
+// Guards against failing a request whose target began to drain while the
+// connection was being opened, and against counting it as a retry: the route
+// allows one target.
+TEST(RequestProxy, RequestIsPlacedAgainWhenItsTargetDrainsDuringConnect) {
+  ProxyFixture fixture;
+  fixture.startRequest();
+  fixture.state(TargetId1).Entry.Draining = true;
+  fixture.addTarget(fixture.Second, TargetId2);
+  fixture.finishRequest();
+  LONGS_EQUAL(200, fixture.Response.Status);
+  LONGS_EQUAL(0, fixture.First.Received);
+  LONGS_EQUAL(1, fixture.Second.Received);
+}
--- a/src/savoryvm/vm_daemon_test.cpp
+++ b/src/savoryvm/vm_daemon_test.cpp
@@ -72,6 +72,15 @@
     CHECK_TRUE(waitUntil([&] { return done; }));
     return result;
   }
+
+  /// Sends requests for several objects, one after the other.
+  void callMany(int n) {
+    for (int i = 0; i < n; ++i) {
+      CallerRequest request;
+      request.AffinityKey = std::to_string(i);
+      LONGS_EQUAL(200, call(2, request).Status);
+    }
+  }
 };
 
 CallerRequest permitRequest(const std::string &attempt) {
@@ -310,3 +319,88 @@
   CHECK_FALSE(fixture.ready(2));
   LONGS_EQUAL(503, fixture.call(2, CallerRequest()).Status);
 }
+
+// Guards against requests to a target after it announced its departure in any
+// response, while its entry still says that it is ready.
+TEST(VmDaemon, SendsNothingToLeavingTargetUntilItsRestart) {
+  VmFixture fixture;
+  PlatformTarget &first = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  for (TargetMode it : {TargetMode::Serve, TargetMode::Shed, TargetMode::Fail,
+                        TargetMode::Unsigned}) {
+    first.Mode = it;
+    first.Leaving = true;
+    first.Received = 0;
+    fixture.callMany(40);
+    LONGS_EQUAL(1, first.Received);
+    // The entry is written again, as by a heartbeat of the same start.
+    first.registerEntry();
+    fixture.waitUntil([] { return false; }, Millis(900));
+    fixture.callMany(40);
+    LONGS_EQUAL(1, first.Received);
+    first.Mode = TargetMode::Serve;
+    first.Leaving = false;
+    ++first.StartedAt;
+    first.registerEntry();
+    CHECK_TRUE(fixture.waitUntil([&] {
+      fixture.callMany(10);
+      return first.Received > 1;
+    }));
+  }
+}
+
+// Guards against forgetting a departure when the entry of the same start is
+// removed and written again.
+TEST(VmDaemon, TargetIsStillLeavingWhenItsEntryReturns) {
+  VmFixture fixture;
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  target.Leaving = true;
+  LONGS_EQUAL(200, fixture.call(2, CallerRequest()).Status);
+  target.removeEntry();
+  fixture.waitUntil([] { return false; }, Millis(3200));
+  target.registerEntry();
+  fixture.waitUntil([] { return false; }, Millis(900));
+  CallerResult result = fixture.call(2, CallerRequest());
+  LONGS_EQUAL(503, result.Status);
+  CHECK_FALSE(result.RetryAfter.empty());
+  CHECK_TRUE(result.Took < Millis(500));
+  LONGS_EQUAL(1, target.Received);
+}
+
+// Guards against idle connections to a leaving target that stay open, and
+// against breaking its requests in flight.
+TEST(VmDaemon, OnlyIdleConnectionsToLeavingTargetAreClosed) {
+  VmFixture fixture;
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  std::map<std::string, int> statuses;
+  auto start = [&](const std::string &attempt, Millis serviceTime) {
+    target.ServiceTime = serviceTime;
+    CallerRequest request;
+    request.Attempt = attempt;
+    callVm(fixture.Io, fixture.Platform.callerAddress(2), request,
+           [&, attempt](const CallerResult &it) {
+             statuses[attempt] = it.Status;
+           });
+    CHECK_TRUE(fixture.waitUntil(
+        [&] { return fixture.Platform.runCount(attempt) == 1; }));
+  };
+  start("slow", Millis(600));
+  start("first", Millis(100));
+  start("second", Millis(100));
+  CHECK_TRUE(fixture.waitUntil([&] { return statuses.size() == 2; }));
+  LONGS_EQUAL(3, target.connections());
+  target.Leaving = true;
+  LONGS_EQUAL(200, fixture.call(2, CallerRequest()).Status);
+  CHECK_TRUE(fixture.waitUntil([&] { return target.connections() == 1; },
+                               Millis(200)));
+  LONGS_EQUAL(0, statuses.count("slow"));
+  CHECK_TRUE(fixture.waitUntil([&] { return statuses["slow"] == 200; }));
+  CHECK_TRUE(fixture.waitUntil([&] { return target.connections() == 0; },
+                               Millis(200)));
+}
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -106,7 +106,7 @@
 void VmDaemon::removeTarget(const TargetId &target, const char *reason) {
   logEvent(EventCode::TargetDown,
            {{"target", target.Value}, {"reason", std::string(reason)}});
-  eraseTarget(State, target);
+  eraseTarget(State, target, monoNow());
   Pool.drop(target);
 }
 
@@ -148,7 +148,7 @@
     bool left =
         !added && !known->second.Entry.Draining && entry.value().Draining;
     bool restarted =
-        !added && known->second.Entry.StartId != entry.value().StartId;
+        !added && !isSameStart(known->second.Entry, startOf(entry.value()));
     if (restarted)
       Pool.drop(id);
     updateTarget(State, entry.value(), now);
--- a/src/standins/platform/platform_target.cpp
+++ b/src/standins/platform/platform_target.cpp
@@ -32,7 +32,7 @@
 void PlatformTarget::registerEntry(const std::string &state) {
   Json::Value entry;
   entry["address"] = Address;
-  entry["born"] = 1790000000000;
+  entry["born"] = static_cast<Json::Int64>(StartedAt);
   entry["information"]["service"] = Service;
   entry["information"]["version"] = Version;
   entry["information"]["zone"] = Zone;
@@ -45,6 +45,7 @@
 
 void PlatformTarget::serve(const std::shared_ptr<ServedRequest> &request) {
   const HttpMessage &message = request->Message;
+  ++Received;
   KeysSeen += findField(message, "Authorization") != nullptr;
   LastTeam = field(message, "Savorylb-Tenant");
   bool misdirected = Mode == TargetMode::Misdirected ||
@@ -54,6 +55,7 @@
     refused.Fields = {
         {"Savorylb-Attempt-Id", field(message, "Savorylb-Attempt-Id")},
         {"Savorylb-Not-Executed", "1"}};
+    addNotices(refused);
     request->Respond(std::move(refused));
     return;
   }
@@ -73,6 +75,11 @@
       });
 }
 
+void PlatformTarget::addNotices(HttpMessage &response) const {
+  if (Leaving)
+    response.Fields.emplace_back("Server-Leaving", "1");
+}
+
 void PlatformTarget::answer(const std::shared_ptr<ServedRequest> &request) {
   if (Mode == TargetMode::Silent)
     return;
@@ -91,6 +98,7 @@
       {"Savorylb-Server-Load", std::to_string(Running) + ",0,4"}};
   if (Mode != TargetMode::Unsigned)
     response.Fields.emplace_back("Savorylb-Server-Signature", Id);
+  addNotices(response);
   response.Body = "answer to " + attempt;
   request->Respond(std::move(response));
 }
--- a/src/standins/platform/platform_target.h
+++ b/src/standins/platform/platform_target.h
@@ -38,13 +38,21 @@
   /// Writes the target's entry into the store.
   void registerEntry(const std::string &state = "ready");
   void removeEntry() { Store.remove("servers/" + Id); }
+  /// \returns the number of open connections.
+  std::size_t connections() const { return Server.connections(); }
 
   TargetMode Mode = TargetMode::Serve;
   Duration ServiceTime = Millis(5);
+  /// Announces its departure in all responses.
+  bool Leaving = false;
+  /// Start time in its entry; a new value stands for a restart.
+  std::int64_t StartedAt = 1790000000000;
   /// Number of runs of each attempt on this target.
   std::map<std::string, int> Runs;
   /// Number of attempts whose connection closed while they ran.
   int Cancelled = 0;
+  /// Number of requests that it received, including refused ones.
+  int Received = 0;
   /// Number of requests that carried a caller's key.
   int KeysSeen = 0;
   /// Team of the last request.
@@ -53,6 +61,7 @@
 private:
   void serve(const std::shared_ptr<ServedRequest> &request);
   void answer(const std::shared_ptr<ServedRequest> &request);
+  void addNotices(HttpMessage &response) const;
 
   asio::io_context &Io;
   PlatformStore &Store;
