Send nothing to a target until its Retry-After has passed

A target that refuses a request with 503 may say with Retry-After how long it wants nothing from this VM. savoryvm ignored the field: the next request went to the same target at once, and callers were told to return after 0.2 s whatever the target had asked for.

The target is then no candidate for requests and retries of this VM until the time has passed. The later of two ends holds, a restart ends the pause, and the removal and return of the entry does not. The check before transmission covers requests whose connection is being opened. A pause changes neither failure rate nor suspension beyond what the refusal itself does. If only paused targets are left, the request is refused at once; its Retry-After is the earliest end of a pause plus up to 0.1 s, so that callers do not return all at once, and at most the time to the deadline.

At the end of a pause the load estimates alone limit what is sent; a test shows that 1 to 4 of 40 simultaneous requests go to a target with 4 slots.

Each pause is logged once as target_paused (6008).

--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -63,6 +63,7 @@
   EvacuationStarted = 6005,
   EvacuationEnded = 6006,
   TargetRejected = 6007,
+  TargetPaused = 6008,
 };
 
 /// \returns the name of the event in the log and in docs/EVENTS.md.
--- a/src/libsavoryobserve/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -22,6 +22,8 @@
     return "evacuation_ended";
   case EventCode::TargetRejected:
     return "target_rejected";
+  case EventCode::TargetPaused:
+    return "target_paused";
   case EventCode::DaemonStarted:
     return "daemon_started";
   case EventCode::DaemonReady:
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -47,8 +47,10 @@
   double ExpectedUncachedMs = 0;
   /// Delay after which a refused request is likely to be served.
   Duration RetryAfter{0};
-  /// `no-target`, `overload` or empty.
+  /// `no-target`, `overload`, `paused` or empty.
   const char *Reason = "";
+  /// There is no target because all that are left are paused.
+  bool AllPaused = false;
 };
 
 /// Chooses the target for a request, or refuses it.
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -166,11 +166,10 @@
     candidates.resize(n);
 }
 
-std::vector<PlacementCandidate> findCandidates(SteeringState &state,
-                                               const SteeredRequest &request,
-                                               const VersionRule &versions,
-                                               MonoTime now) {
-  std::vector<PlacementCandidate> found;
+TargetCandidates findCandidates(SteeringState &state,
+                                const SteeredRequest &request,
+                                const VersionRule &versions, MonoTime now) {
+  TargetCandidates found;
   std::vector<WarmupSender> senders;
   auto rule = request.Config->Services.find(request.Service);
   double perSecond =
@@ -194,10 +193,10 @@
           !hasWarmupToken(target, perSecond, now))
         continue;
     }
-    found.push_back({&target, roundTripMs(state, target)});
+    addCandidate(found, target, roundTripMs(state, target), now);
   }
   if (versions.TargetSubset)
-    limitToSubset(found);
+    limitToSubset(found.Usable);
   return found;
 }
 
@@ -291,13 +290,15 @@
                              MonoTime now) {
   ServiceState &service = state.Services[request.Service];
   VersionRule versions = versionRule(state, service, request, now);
-  std::vector<PlacementCandidate> candidates =
-      findCandidates(state, request, versions, now);
-  if (candidates.empty() && !versions.Only.empty() && request.UsesNewVersion) {
+  TargetCandidates candidates = findCandidates(state, request, versions, now);
+  if (candidates.Usable.empty() && !versions.Only.empty() &&
+      request.UsesNewVersion) {
     // No target of the new version is available; fall back to other versions.
     versions = {VersionId(), versions.Only, false};
     candidates = findCandidates(state, request, versions, now);
   }
+  if (auto refusal = refuseWhilePaused(candidates, request, now))
+    return *refusal;
   PlacementRequest query;
   query.Object = request.Route->Affinity ? request.Object : "";
   query.Zone = state.Fleet.Self.Zone;
@@ -312,8 +313,8 @@
       processingTime(service, *request.Route);
   query.CachedMs = mean.CachedMs;
   query.UncachedMs = mean.UncachedMs;
-  PlacementChoice choice = placeRequest(query, candidates, now);
-  return limitRegionReturn(state, query, candidates, choice, now);
+  PlacementChoice choice = placeRequest(query, candidates.Usable, now);
+  return limitRegionReturn(state, query, candidates.Usable, choice, now);
 }
 
 void recordSend(SteeringState &state, SteeredRequest &request,
--- a/src/libsavorysteer/target_availability_test.cpp
+++ b/src/libsavorysteer/target_availability_test.cpp
@@ -75,7 +75,7 @@
   PlacementChoice choice = choose(state, Start + Seconds(1));
   POINTERS_EQUAL(nullptr, choice.Target);
   CHECK_TRUE(choice.RetryAfter > Duration::zero());
-  CHECK_FALSE(mayTransmit(state, startOf(entry)));
+  CHECK_FALSE(mayTransmit(state, startOf(entry), Start + Seconds(1)));
   updateTarget(state, makeEntry("i-1", 8), Start + Seconds(2));
   CHECK_TRUE(isUsed(state, "i-1", Start + Seconds(2)));
 }
@@ -141,3 +141,101 @@
   CHECK_TRUE(target.InFlight.empty());
   CHECK_TRUE(request.Tried.empty());
 }
+
+// Guards against a shorter pause that ends a longer one, and against several
+// log lines for one pause.
+TEST(TargetAvailability, LaterEndOfTwoPausesHolds) {
+  SteeringState state = makeState();
+  TargetStart start = startOf(makeEntry("i-1"));
+  CHECK_FALSE(pauseTarget(state, start, Duration::zero(), Start));
+  CHECK_TRUE(pauseTarget(state, start, Millis(800), Start));
+  CHECK_FALSE(pauseTarget(state, start, Millis(100), Start + Millis(50)));
+  CHECK_FALSE(isUsed(state, "i-1", Start + Millis(799)));
+  CHECK_FALSE(mayTransmit(state, start, Start + Millis(799)));
+  CHECK_TRUE(isUsed(state, "i-1", Start + Millis(800)));
+  CHECK_TRUE(mayTransmit(state, start, Start + Millis(800)));
+  CHECK_TRUE(pauseTarget(state, start, Millis(300), Start + Seconds(1)));
+  CHECK_FALSE(pauseTarget(state, start, Millis(900), Start + Millis(1200)));
+  CHECK_FALSE(isUsed(state, "i-1", Start + Millis(2000)));
+}
+
+// Guards against a pause of an earlier start that applies to a restarted
+// target, and against one that is forgotten when the entry is removed.
+TEST(TargetAvailability, PauseHoldsForOneStart) {
+  SteeringState state = makeState();
+  TargetStart start = startOf(makeEntry("i-1"));
+  pauseTarget(state, start, Seconds(9), Start);
+  eraseTarget(state, start.Id, Start);
+  updateTarget(state, makeEntry("i-1"), Start + Seconds(1));
+  CHECK_FALSE(isUsed(state, "i-1", Start + Seconds(1)));
+  updateTarget(state, makeEntry("i-1", 8), Start + Seconds(2));
+  CHECK_TRUE(isUsed(state, "i-1", Start + Seconds(2)));
+  CHECK_FALSE(pauseTarget(state, start, Seconds(9), Start + Seconds(2)));
+  CHECK_TRUE(isUsed(state, "i-1", Start + Seconds(2)));
+}
+
+// Guards against a Retry-After that does not match the earliest end of a pause,
+// and against refusing requests that another target can serve.
+TEST(TargetAvailability, RefusesUntilTheEarliestPauseEnds) {
+  SteeringState state = makeState();
+  updateTarget(state, makeEntry("i-2"), Start);
+  pauseTarget(state, startOf(makeEntry("i-1")), Millis(900), Start);
+  CHECK_TRUE(isUsed(state, "i-2", Start));
+  pauseTarget(state, startOf(makeEntry("i-2")), Millis(600), Start);
+  PlacementChoice choice = choose(state, Start);
+  POINTERS_EQUAL(nullptr, choice.Target);
+  STRCMP_EQUAL("paused", choice.Reason);
+  CHECK_TRUE(choice.RetryAfter >= Millis(600));
+  CHECK_TRUE(choice.RetryAfter <= Millis(700));
+  // Limited to the time that the caller has left.
+  pauseTarget(state, startOf(makeEntry("i-1")), Seconds(30), Start);
+  pauseTarget(state, startOf(makeEntry("i-2")), Seconds(30), Start);
+  CHECK_TRUE(choose(state, Start).RetryAfter == Seconds(2));
+}
+
+// Guards against a request that is refused as if no target existed when the
+// only other one has refused it before.
+TEST(TargetAvailability, TriedTargetsDoNotCountAsUsable) {
+  SteeringState state = makeState();
+  updateTarget(state, makeEntry("i-2"), Start);
+  pauseTarget(state, startOf(makeEntry("i-1")), Millis(900), Start);
+  SteeredRequest request = admit(state, Start);
+  request.Tried = {TargetId("i-2")};
+  CHECK_TRUE(chooseTarget(state, request, Start).AllPaused);
+}
+
+// Guards against callers that are told to return all at once when a pause ends.
+TEST(TargetAvailability, RefusedRequestsReturnSpreadOut) {
+  SteeringState state = makeState();
+  pauseTarget(state, startOf(makeEntry("i-1")), Seconds(1), Start);
+  MonoTime first = Start + Millis(2000);
+  MonoTime last = Start;
+  for (int i = 0; i < 20; ++i) {
+    MonoTime now = Start + i * Millis(23);
+    MonoTime back = now + choose(state, now).RetryAfter;
+    first = std::min(first, back);
+    last = std::max(last, back);
+  }
+  CHECK_TRUE(first >= Start + Seconds(1));
+  CHECK_TRUE(last - first > Millis(50));
+}
+
+// Guards against overloading a target at the end of its pause: without newer
+// load reports, only requests that find a free slot are sent.
+TEST(TargetAvailability, NotAllRequestsAreSentWhenAPauseEnds) {
+  SteeringState state = makeState();
+  TargetState &target = state.Targets[TargetId("i-1")];
+  recordLoad(target, {4, 8, 4}, Start);
+  pauseTarget(state, startOf(target.Entry), Millis(900), Start);
+  MonoTime now = Start + Millis(900);
+  int sent = 0;
+  for (int i = 0; i < 40; ++i) {
+    SteeredRequest request = admit(state, now);
+    if (chooseTarget(state, request, now).Target) {
+      recordSend(state, request, target, now);
+      ++sent;
+    }
+  }
+  CHECK_TRUE(sent >= 1);
+  CHECK_TRUE(sent <= 4);
+}
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -20,6 +20,8 @@
 struct TargetNotices {
   /// The target is shutting down.
   bool Leaving = false;
+  /// End of the time for which the target wants no requests from this VM.
+  MonoTime PausedUntil{};
 };
 
 /// This VM's state for one target.
--- a/src/libsavorysteer/target_state_test.cpp
+++ b/src/libsavorysteer/target_state_test.cpp
@@ -52,7 +52,7 @@
   TargetState target = makeTarget();
   recordResult(target, TargetResult::Unreachable, -1, Start);
   recordObject(target, "map-7", Start);
-  target.Notices.Leaving = true;
+  target.Notices = {true, Start + Seconds(9)};
   TargetEntry entry = target.Entry;
   entry.StartId = 8;
   entry.WarmupLeft = Millis(3000);
@@ -60,6 +60,7 @@
   CHECK_FALSE(isSuspended(target, Start + Seconds(1)));
   CHECK_TRUE(target.Objects.empty());
   CHECK_FALSE(target.Notices.Leaving);
+  CHECK_TRUE(target.Notices.PausedUntil == MonoTime());
   CHECK_TRUE(target.ColdUntil == Start + Seconds(4));
 }
 
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -125,8 +125,8 @@
     return;
   }
   // Opening the connection takes up to several 100 ms, during which the target
-  // may have announced its departure in response to another request.
-  if (!mayTransmit(State, CurrentSend.Start)) {
+  // may have announced its departure or a pause in response to another request.
+  if (!mayTransmit(State, CurrentSend.Start, monoNow())) {
     releaseConnection(connection);
     placeAgain();
     return;
@@ -150,16 +150,21 @@
     return;
   }
   CurrentSend.Target = TargetId(); // For the log.
-  const char *reason = tooLateToSend() ? "timeout" : choice.Reason;
+  giveUp(tooLateToSend() ? "timeout" : choice.Reason, choice);
+}
+
+void RequestProxy::giveUp(const char *reason, const PlacementChoice &choice) {
   if (MayHaveRun)
     fail(502, reason);
   else
-    refuse(503, reason, std::max(NotRunRetryAfter, choice.RetryAfter));
+    refuse(503, reason,
+           choice.AllPaused ? std::max(NotRunRetryAfter, choice.RetryAfter)
+                            : NotRunRetryAfter);
 }
 
 void RequestProxy::releaseConnection(
     const std::shared_ptr<HttpConnection> &connection) {
-  if (mayTransmit(State, CurrentSend.Start))
+  if (isInUse(State, CurrentSend.Start))
     Pool.release(CurrentSend.Target, connection);
   else
     connection->close();
@@ -175,6 +180,13 @@
                                      {"trace", Metadata.AttemptId.Value}});
     Pool.drop(CurrentSend.Target);
   }
+  if (reply.RetryAfter &&
+      pauseTarget(State, CurrentSend.Start, *reply.RetryAfter, monoNow()))
+    logEvent(EventCode::TargetPaused,
+             {{"target", CurrentSend.Target.Value},
+              {"reason", std::string("paused")},
+              {"duration_us", reply.RetryAfter->count()},
+              {"trace", Metadata.AttemptId.Value}});
 }
 
 void RequestProxy::transmit() {
@@ -303,17 +315,11 @@
   MonoTime now = monoNow();
   bool sent = SendCount > 0;
   bool allowed = !tooLateToSend() && (!sent || mayRetry(State, Steered, now));
-  if (allowed) {
-    PlacementChoice choice = chooseTarget(State, Steered, now);
-    if (choice.Target) {
-      send(choice);
-      return;
-    }
-  }
-  if (MayHaveRun)
-    fail(502, reason);
+  PlacementChoice choice = chooseTarget(State, Steered, now);
+  if (allowed && choice.Target)
+    send(choice);
   else
-    refuse(503, reason, NotRunRetryAfter);
+    giveUp(reason, choice);
 }
 
 void RequestProxy::onDeadline() {
@@ -335,13 +341,7 @@
   Deadline.cancel();
   if (CurrentSend.Connection)
     CurrentSend.Connection->close();
-  auto found = State.Targets.find(CurrentSend.Target);
-  if (found != State.Targets.end()) {
-    auto &inFlight = found->second.InFlight;
-    auto it = std::find(inFlight.begin(), inFlight.end(), CurrentSend.SentAt);
-    if (it != inFlight.end())
-      inFlight.erase(it);
-  }
+  cancelSend(State, Steered, CurrentSend.Target, CurrentSend.SentAt);
   logCompletion(0, "caller-gone", true);
 }
 
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -45,6 +45,8 @@
   void releaseConnection(const std::shared_ptr<HttpConnection> &connection);
   /// Applies what the target told about its use.
   void applyNotices(const platform::TargetReply &reply);
+  /// Responds to a request that cannot be sent to any target.
+  void giveUp(const char *reason, const PlacementChoice &choice);
   void onExchangeEnd(ExchangeOutcome end, HttpMessage &response);
   void onResponse(HttpMessage &response);
   void recordSendResult(TargetResult result, int status,
--- a/src/savoryvm/request_proxy_test.cpp
+++ b/src/savoryvm/request_proxy_test.cpp
@@ -26,8 +26,8 @@
   PlatformStore Store{Io};
   PlatformTarget First{Io, Store, TargetId1, "tiles", "tema-a", "v1"};
   PlatformTarget Second{Io, Store, TargetId2, "tiles", "tema-a", "v1"};
-  HttpMessage Response;
-  bool Responded = false;
+  std::vector<HttpMessage> Responses;
+  std::size_t Started = 0;
 
   ProxyFixture() {
     State.Zones = {{ZoneId("tema-a"), RegionId("tema")}};
@@ -71,19 +71,20 @@
                                {"Savorylb-Attempt-Id", "a-1"}};
     request->ArrivedAt = monoNow();
     request->Respond = [this](HttpMessage response) {
-      Response = std::move(response);
-      Responded = true;
+      Responses.push_back(std::move(response));
     };
+    ++Started;
     std::make_shared<RequestProxy>(Io, State, Pool, request)->start();
   }
 
-  void finishRequest() {
+  /// Runs the I/O context until all requests have their responses.
+  void finishRequests() {
     MonoTime end = monoNow() + Seconds(3);
-    while (!Responded && monoNow() < end) {
+    while (Responses.size() < Started && monoNow() < end) {
       Io.run_for(std::chrono::milliseconds(5));
       Io.restart();
     }
-    CHECK_TRUE(Responded);
+    LONGS_EQUAL(Started, Responses.size());
   }
 };
 
@@ -97,9 +98,9 @@
   ProxyFixture fixture;
   fixture.startRequest();
   fixture.state(TargetId1).Notices.Leaving = true;
-  fixture.finishRequest();
-  LONGS_EQUAL(503, fixture.Response.Status);
-  CHECK_TRUE(findField(fixture.Response, "Retry-After") != nullptr);
+  fixture.finishRequests();
+  LONGS_EQUAL(503, fixture.Responses.at(0).Status);
+  CHECK_TRUE(findField(fixture.Responses.at(0), "Retry-After") != nullptr);
   LONGS_EQUAL(0, fixture.First.Received);
   CHECK_TRUE(fixture.state(TargetId1).InFlight.empty());
 }
@@ -112,8 +113,57 @@
   fixture.startRequest();
   fixture.state(TargetId1).Entry.Draining = true;
   fixture.addTarget(fixture.Second, TargetId2);
-  fixture.finishRequest();
-  LONGS_EQUAL(200, fixture.Response.Status);
+  fixture.finishRequests();
+  LONGS_EQUAL(200, fixture.Responses.at(0).Status);
   LONGS_EQUAL(0, fixture.First.Received);
   LONGS_EQUAL(1, fixture.Second.Received);
 }
+
+// Guards against transmitting a request after its target asked for a pause
+// while the connection was being opened, and against counting that as a retry.
+TEST(RequestProxy, TargetThatPausesDuringConnectGetsNothing) {
+  ProxyFixture fixture;
+  fixture.startRequest();
+  pauseTarget(fixture.State, startOf(fixture.state(TargetId1).Entry),
+              Millis(700), monoNow());
+  fixture.finishRequests();
+  LONGS_EQUAL(503, fixture.Responses.at(0).Status);
+  DOUBLES_EQUAL(
+      0.75, std::stod(*findField(fixture.Responses.at(0), "Retry-After")), 0.1);
+  fixture.startRequest();
+  fixture.addTarget(fixture.Second, TargetId2);
+  fixture.startRequest();
+  fixture.finishRequests();
+  LONGS_EQUAL(503, fixture.Responses.at(1).Status);
+  LONGS_EQUAL(200, fixture.Responses.at(2).Status);
+  LONGS_EQUAL(0, fixture.First.Received);
+  CHECK_TRUE(fixture.state(TargetId1).InFlight.empty());
+}
+
+// Guards against requests that reach a target after the first of several
+// concurrent requests was refused with a pause.
+TEST(RequestProxy, OnlyRequestsInFlightReachAPausedTarget) {
+  ProxyFixture fixture;
+  fixture.First.Mode = TargetMode::Shed;
+  fixture.First.RetryAfter = "0.8";
+  for (int i = 0; i < 3; ++i)
+    fixture.startRequest();
+  fixture.finishRequests();
+  int received = fixture.First.Received;
+  CHECK_TRUE(received >= 1 && received <= 3);
+  for (int i = 0; i < 10; ++i)
+    fixture.startRequest();
+  fixture.finishRequests();
+  LONGS_EQUAL(received, fixture.First.Received);
+}
+
+// Guards against a pause that counts as a failure besides the refusal.
+TEST(RequestProxy, RefusalWithAPauseCountsAsOneRefusal) {
+  ProxyFixture fixture;
+  fixture.First.Mode = TargetMode::Shed;
+  fixture.First.RetryAfter = "0.8";
+  fixture.startRequest();
+  fixture.finishRequests();
+  DOUBLES_EQUAL(ResultWeight, fixture.state(TargetId1).FailureRate, 0.01);
+  CHECK_FALSE(fixture.state(TargetId1).Suspended);
+}
--- a/src/savoryvm/vm_daemon_test.cpp
+++ b/src/savoryvm/vm_daemon_test.cpp
@@ -404,3 +404,77 @@
   CHECK_TRUE(fixture.waitUntil([&] { return target.connections() == 0; },
                                Millis(200)));
 }
+
+// Guards against requests to a target during the time for which it refused
+// them, and against not using it afterwards.
+TEST(VmDaemon, PausedTargetGetsNothingUntilThePauseEnds) {
+  VmFixture fixture;
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  target.Mode = TargetMode::Shed;
+  target.RetryAfter = "0.9";
+  CallerResult first = fixture.call(2, CallerRequest());
+  MonoTime pausedAt = monoNow();
+  LONGS_EQUAL(503, first.Status);
+  DOUBLES_EQUAL(0.95, std::stod(first.RetryAfter), 0.15);
+  target.Mode = TargetMode::Serve;
+  while (monoNow() < pausedAt + Millis(700)) {
+    CallerResult result = fixture.call(2, CallerRequest());
+    LONGS_EQUAL(503, result.Status);
+    CHECK_TRUE(result.Took < Millis(100));
+    double left =
+        std::chrono::duration<double>(pausedAt + Millis(900) - monoNow())
+            .count();
+    DOUBLES_EQUAL(left + 0.05, std::stod(result.RetryAfter), 0.15);
+  }
+  LONGS_EQUAL(1, target.Received);
+  fixture.waitUntil([] { return false; }, Millis(300));
+  LONGS_EQUAL(200, fixture.call(2, CallerRequest()).Status);
+}
+
+// Guards against failing requests while another target can serve them, and
+// against retries at a paused target.
+TEST(VmDaemon, OtherTargetsServeDuringAPause) {
+  VmFixture fixture;
+  PlatformTarget &first = fixture.Platform.addTarget("permits", "tema-a");
+  PlatformTarget &second = fixture.Platform.addTarget("permits", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  first.RetryAfter = second.RetryAfter = "0.6";
+  first.Mode = second.Mode = TargetMode::Shed;
+  LONGS_EQUAL(503, fixture.call(2, permitRequest("")).Status);
+  for (int i = 0; i < 5; ++i)
+    LONGS_EQUAL(503, fixture.call(2, permitRequest("")).Status);
+  LONGS_EQUAL(1, first.Received);
+  LONGS_EQUAL(1, second.Received);
+  fixture.waitUntil([] { return false; }, Millis(700));
+  first.RetryAfter = "5";
+  second.Mode = TargetMode::Serve;
+  for (int i = 0; i < 20; ++i) {
+    CallerRequest request = permitRequest("");
+    request.AffinityKey = std::to_string(i);
+    LONGS_EQUAL(200, fixture.call(2, request).Status);
+  }
+  CHECK_TRUE(first.Received <= 2);
+}
+
+// Guards against a restarted target that is not used because its predecessor
+// had asked for a pause.
+TEST(VmDaemon, RestartEndsAPause) {
+  VmFixture fixture;
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  target.Mode = TargetMode::Shed;
+  target.RetryAfter = "20";
+  LONGS_EQUAL(503, fixture.call(2, CallerRequest()).Status);
+  target.Mode = TargetMode::Serve;
+  fixture.waitUntil([] { return false; }, Millis(900));
+  LONGS_EQUAL(503, fixture.call(2, CallerRequest()).Status);
+  ++target.StartedAt;
+  target.registerEntry();
+  CHECK_TRUE(fixture.waitUntil(
+      [&] { return fixture.call(2, CallerRequest()).Status == 200; },
+      Millis(1500)));
+}
--- a/src/standins/platform/platform_target.cpp
+++ b/src/standins/platform/platform_target.cpp
@@ -78,6 +78,8 @@
 void PlatformTarget::addNotices(HttpMessage &response) const {
   if (Leaving)
     response.Fields.emplace_back("Server-Leaving", "1");
+  if (response.Status == 503 && !RetryAfter.empty())
+    response.Fields.emplace_back("Retry-After", RetryAfter);
 }
 
 void PlatformTarget::answer(const std::shared_ptr<ServedRequest> &request) {
--- a/src/standins/platform/platform_target.h
+++ b/src/standins/platform/platform_target.h
@@ -45,6 +45,8 @@
   Duration ServiceTime = Millis(5);
   /// Announces its departure in all responses.
   bool Leaving = false;
+  /// Value of the Retry-After field of its refusals with 503; empty omits it.
+  std::string RetryAfter;
   /// Start time in its entry; a new value stands for a restart.
   std::int64_t StartedAt = 1790000000000;
   /// Number of runs of each attempt on this target.
