--- a/src/savoryvm/peer_codec_test.cpp
+++ b/src/savoryvm/peer_codec_test.cpp
@@ -41,7 +41,7 @@
 // Guards against rejecting the reports of VMs of an earlier build.
 TEST(PeerCodec, ReportWithoutEraIsOfEraZero) {
   auto read = readPeerReport(
-      R"({"vm":"vm-1","callers":"127.0.0.1:8001","documents":77})");
+      R"({"vm":"vm-1","callers":"127.0.0.1:8001","peers":"127.0.0.1:8004","documents":77})");
   CHECK_TRUE(read.has_value());
   LONGS_EQUAL(77, read.value().DocumentsRevision.Number.Value);
   LONGS_EQUAL(0, read.value().DocumentsRevision.Era.Value);
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -98,6 +98,7 @@
   TargetState &target = *choice.Target;
   CurrentSend = Send();
   CurrentSend.Target = target.Entry.Id;
+  CurrentSend.Start = startOf(target.Entry);
   CurrentSend.Version = target.Entry.Version;
   CurrentSend.ExpectedMs = choice.ExpectedMs;
   CurrentSend.ExpectedUncachedMs = choice.ExpectedUncachedMs;
@@ -118,7 +119,7 @@
 void RequestProxy::onConnected(std::shared_ptr<HttpConnection> connection) {
   if (Done) {
     if (connection)
-      Pool.release(CurrentSend.Target, connection);
+      releaseConnection(connection);
     return;
   }
   if (!connection) {
@@ -127,6 +128,13 @@
     retry("unreachable");
     return;
   }
+  // Opening the connection takes up to several 100 ms, during which the target
+  // may have announced its departure or a pause in response to another request.
+  if (!mayTransmit(State, CurrentSend.Start, monoNow())) {
+    releaseConnection(connection);
+    placeAgain();
+    return;
+  }
   auto found = State.Targets.find(CurrentSend.Target);
   CurrentSend.Reused = connection->Exchanges > 0;
   if (!CurrentSend.Reused && found != State.Targets.end())
@@ -135,6 +143,56 @@
   transmit();
 }
 
+void RequestProxy::placeAgain() {
+  incrementCounter("sends_cancelled");
+  cancelSend(State, Steered, CurrentSend.Target, CurrentSend.SentAt);
+  PlacementChoice choice;
+  if (!tooLateToSend())
+    choice = chooseTarget(State, Steered, monoNow());
+  if (choice.Target) {
+    send(choice);
+    return;
+  }
+  CurrentSend.Target = TargetId(); // For the log.
+  giveUp(tooLateToSend() ? "timeout" : choice.Reason, choice);
+}
+
+void RequestProxy::giveUp(const char *reason, const PlacementChoice &choice) {
+  if (MayHaveRun)
+    fail(502, reason);
+  else
+    refuse(503, reason,
+           choice.AllPaused ? std::max(NotRunRetryAfter, choice.RetryAfter)
+                            : NotRunRetryAfter);
+}
+
+void RequestProxy::releaseConnection(
+    const std::shared_ptr<HttpConnection> &connection) {
+  if (isInUse(State, CurrentSend.Start))
+    Pool.release(CurrentSend.Target, connection);
+  else
+    connection->close();
+}
+
+void RequestProxy::applyNotices(const platform::TargetReply &reply) {
+  // A misdirected request was answered by another target.
+  if (reply.Misdirected)
+    return;
+  if (reply.Leaving && markLeaving(State, CurrentSend.Start, monoNow())) {
+    logEvent(EventCode::TargetDown, {{"target", CurrentSend.Target.Value},
+                                     {"reason", std::string("leaving")},
+                                     {"trace", Metadata.AttemptId.Value}});
+    Pool.drop(CurrentSend.Target);
+  }
+  if (reply.RetryAfter &&
+      pauseTarget(State, CurrentSend.Start, *reply.RetryAfter, monoNow()))
+    logEvent(EventCode::TargetPaused,
+             {{"target", CurrentSend.Target.Value},
+              {"reason", std::string("paused")},
+              {"duration_us", reply.RetryAfter->count()},
+              {"trace", Metadata.AttemptId.Value}});
+}
+
 void RequestProxy::transmit() {
   MonoTime now = monoNow();
   HttpMessage outgoing;
@@ -209,8 +267,9 @@
 
 void RequestProxy::onResponse(HttpMessage &response) {
   platform::TargetReply reply = platform::readTargetReply(response);
+  applyNotices(reply);
   if (hasAttemptId())
-    Pool.release(CurrentSend.Target, CurrentSend.Connection);
+    releaseConnection(CurrentSend.Connection);
   else
     CurrentSend.Connection->close();
   if (reply.NotExecuted || reply.Misdirected) {
@@ -265,17 +324,11 @@
   MonoTime now = monoNow();
   bool sent = SendCount > 0;
   bool allowed = !tooLateToSend() && (!sent || mayRetry(State, Steered, now));
-  if (allowed) {
-    PlacementChoice choice = chooseTarget(State, Steered, now);
-    if (choice.Target) {
-      send(choice);
-      return;
-    }
-  }
-  if (MayHaveRun)
-    fail(502, reason);
+  PlacementChoice choice = chooseTarget(State, Steered, now);
+  if (allowed && choice.Target)
+    send(choice);
   else
-    refuse(503, reason, NotRunRetryAfter);
+    giveUp(reason, choice);
 }
 
 void RequestProxy::onDeadline() {
@@ -297,13 +350,7 @@
   Deadline.cancel();
   if (CurrentSend.Connection)
     CurrentSend.Connection->close();
-  auto found = State.Targets.find(CurrentSend.Target);
-  if (found != State.Targets.end()) {
-    auto &inFlight = found->second.InFlight;
-    auto it = std::find(inFlight.begin(), inFlight.end(), CurrentSend.SentAt);
-    if (it != inFlight.end())
-      inFlight.erase(it);
-  }
+  cancelSend(State, Steered, CurrentSend.Target, CurrentSend.SentAt);
   logCompletion(
       0, Request->ClosedByServer ? "connection-closed" : "caller-gone", true);
 }
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -110,7 +110,7 @@
   auto known = State.Targets.find(target);
   if (known != State.Targets.end())
     recordDeparture(EndedStarts, known->second.Entry, monoNow());
-  eraseTarget(State, target);
+  eraseTarget(State, target, monoNow());
   Pool.drop(target);
 }
 
@@ -160,9 +160,10 @@
     bool left =
         !added && !known->second.Entry.Draining && entry.value().Draining;
     bool restarted =
-        !added && known->second.Entry.StartId != entry.value().StartId;
+        !added && !isSameStart(known->second.Entry, startOf(entry.value()));
     if (restarted) {
-      recordRestart(EndedStarts, known->second.Entry, now);
+      if (known->second.Entry.StartId != entry.value().StartId)
+        recordRestart(EndedStarts, known->second.Entry, now);
       Pool.drop(id);
     }
     updateTarget(State, entry.value(), now);
--- a/src/savoryvm/vm_fixture.h
+++ b/src/savoryvm/vm_fixture.h
@@ -73,6 +73,16 @@
     CHECK_TRUE(waitUntil([&] { return done; }));
     return result;
   }
+
+  /// Sends requests, one after the other, each for an object that no target has
+  /// cached.
+  void callMany(int n) {
+    for (int i = 0; i < n; ++i) {
+      CallerRequest request;
+      request.AffinityKey = "object-" + std::to_string(Attempts);
+      LONGS_EQUAL(200, call(2, request).Status);
+    }
+  }
 };
 
 /// \returns an at-most-once request.
--- a/src/standins/platform/platform_target.cpp
+++ b/src/standins/platform/platform_target.cpp
@@ -16,10 +16,11 @@
 
 std::string targetEntry(const std::string &address, const std::string &service,
                         const std::string &zone, const std::string &version,
-                        const std::string &state, int sequence) {
+                        const std::string &state, int sequence,
+                        std::int64_t startedAt) {
   Json::Value entry;
   entry["address"] = address;
-  entry["born"] = 1790000000000;
+  entry["born"] = static_cast<Json::Int64>(startedAt);
   entry["information"]["service"] = service;
   entry["information"]["version"] = version;
   entry["information"]["zone"] = zone;
@@ -46,12 +47,13 @@
 }
 
 void PlatformTarget::registerEntry(const std::string &state) {
-  Store.put("servers/" + Id,
-            targetEntry(Address, Service, Zone, Version, state, ++Sequence));
+  Store.put("servers/" + Id, targetEntry(Address, Service, Zone, Version, state,
+                                         ++Sequence, StartedAt));
 }
 
 void PlatformTarget::serve(const std::shared_ptr<ServedRequest> &request) {
   const HttpMessage &message = request->Message;
+  ++Received;
   KeysSeen += findField(message, "Authorization") != nullptr;
   LastTeam = field(message, "Savorylb-Tenant");
   bool misdirected = Mode == TargetMode::Misdirected ||
@@ -61,6 +63,7 @@
     refused.Fields = {
         {"Savorylb-Attempt-Id", field(message, "Savorylb-Attempt-Id")},
         {"Savorylb-Not-Executed", "1"}};
+    addNotices(refused);
     request->Respond(std::move(refused));
     return;
   }
@@ -80,6 +83,13 @@
       });
 }
 
+void PlatformTarget::addNotices(HttpMessage &response) const {
+  if (Leaving)
+    response.Fields.emplace_back("Server-Leaving", "1");
+  if (response.Status == 503 && !RetryAfter.empty())
+    response.Fields.emplace_back("Retry-After", RetryAfter);
+}
+
 void PlatformTarget::answer(const std::shared_ptr<ServedRequest> &request) {
   if (Mode == TargetMode::Silent)
     return;
@@ -98,6 +108,7 @@
       {"Savorylb-Server-Load", std::to_string(Running) + ",0,4"}};
   if (Mode != TargetMode::Unsigned)
     response.Fields.emplace_back("Savorylb-Server-Signature", Id);
+  addNotices(response);
   response.Body = "answer to " + attempt + std::string(PaddingBytes, '.');
   request->Respond(std::move(response));
 }
--- a/src/standins/platform/platform_target.h
+++ b/src/standins/platform/platform_target.h
@@ -28,11 +28,15 @@
   Fail,
 };
 
+/// Start time of simulated targets in Unix milliseconds.
+constexpr std::int64_t DefaultStartTime = 1'790'000'000'000;
+
 /// \returns the entry of a target in the store.
 std::string targetEntry(const std::string &address, const std::string &service,
                         const std::string &zone,
                         const std::string &version = "v1",
-                        const std::string &state = "ready", int sequence = 1);
+                        const std::string &state = "ready", int sequence = 1,
+                        std::int64_t startedAt = DefaultStartTime);
 
 /// Simulates one target of the platform.
 class PlatformTarget {
@@ -50,15 +54,25 @@
     Server.setLimits(limits);
   }
   void removeEntry() { Store.remove("servers/" + Id); }
+  /// \returns the number of open connections.
+  std::size_t connections() const { return Server.connections(); }
 
   TargetMode Mode = TargetMode::Serve;
   Duration ServiceTime = Millis(5);
   /// Bytes appended to the body of each response.
   std::size_t PaddingBytes = 0;
+  /// Announces its departure in all responses.
+  bool Leaving = false;
+  /// Value of the Retry-After field of its refusals with 503; empty omits it.
+  std::string RetryAfter;
+  /// Start time in its entry; a new value stands for a restart.
+  std::int64_t StartedAt = DefaultStartTime;
   /// Number of runs of each attempt on this target.
   std::map<std::string, int> Runs;
   /// Number of attempts whose connection closed while they ran.
   int Cancelled = 0;
+  /// Number of requests that it received, including refused ones.
+  int Received = 0;
   /// Number of requests that carried a caller's key.
   int KeysSeen = 0;
   /// Team of the last request.
@@ -67,6 +81,7 @@
 private:
   void serve(const std::shared_ptr<ServedRequest> &request);
   void answer(const std::shared_ptr<ServedRequest> &request);
+  void addNotices(HttpMessage &response) const;
 
   asio::io_context &Io;
   PlatformStore &Store;
