Handle pipelined safe requests side by side, and end them at a planned stop

Cause: the server parsed the next request only after the response to the one before it, and closed a draining connection only when its buffer was empty.

Change: a session keeps its outstanding exchanges in order. Requests of retryable routes are handled at once; any other request waits until those before it have their responses. While draining, nothing is taken behind an outstanding request, and the response to the last request that was taken closes the connection. At most 16 requests and 1 MB of waiting responses a connection. Connections in the backlog are accepted before the listening socket closes.

--- a/src/libsavoryhttp/http_message.cpp
+++ b/src/libsavoryhttp/http_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
+#include <cctype>
 #include <ostream>
 #include <strings.h>
 
@@ -35,6 +36,16 @@
   return nullptr;
 }
 
+std::string requestHost(const HttpMessage &request) {
+  const std::string *host = findField(request, "Host");
+  if (!host)
+    return "";
+  std::string name = host->substr(0, host->find(':'));
+  for (char &c : name)
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  return name;
+}
+
 void removeField(HttpMessage &message, const std::string &name) {
   auto &fields = message.Fields;
   fields.erase(std::remove_if(fields.begin(), fields.end(),
--- a/src/libsavoryhttp/http_message.h
+++ b/src/libsavoryhttp/http_message.h
@@ -33,6 +33,10 @@
 const std::string *findField(const HttpMessage &message,
                              const std::string &name);
 
+/// \returns the host of a request in lower case, without a port; empty if it
+///          has none.
+std::string requestHost(const HttpMessage &request);
+
 /// Removes all header fields of a name.
 void removeField(HttpMessage &message, const std::string &name);
 
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -40,12 +40,22 @@
   Duration IdleTimeout = Seconds(15);
   /// Between writes of a response.
   Duration WriteTimeout = Seconds(10);
+  /// Requests of one connection whose responses have not been sent. Bounds what
+  /// one client can have in progress.
+  std::size_t MaxOutstanding = 16;
+  /// Bytes of one connection's responses that wait for the response to an
+  /// earlier request; no further request is taken above it.
+  std::size_t MaxWaitingBytes = 1 << 20;
 };
 
 /// An HTTP/1.1 server on one address.
 class HttpServer {
 public:
   using Handler = std::function<void(const std::shared_ptr<ServedRequest> &)>;
+  /// Decides whether a request may be handled while other requests of its
+  /// connection are. It must be safe to send again, as the client does if an
+  /// earlier response closes the connection.
+  using ConcurrencyRule = std::function<bool(const HttpMessage &)>;
   /// Builds the response to an invalid request from a status and a reason.
   using RejectionHandler = std::function<HttpMessage(int, const char *)>;
 
@@ -65,9 +75,19 @@
     BodyBudget = std::move(budget);
   }
 
-  /// From now on each response closes its connection.
+  /// Sets which requests are handled concurrently; none by default.
+  void setConcurrencyRule(ConcurrencyRule rule) {
+    IsConcurrent = std::move(rule);
+  }
+
+  /// From now on, a connection closes after the responses to the requests that
+  /// were taken from it; later requests of the same connection are not read. An
+  /// idle connection still takes one request.
   void startDrain() { Draining = true; }
 
+  /// Accepts the connections that clients have opened, and no later ones.
+  void stopAccepting();
+
   /// Closes all idle connections and stops accepting new ones.
   void closeIdle();
 
@@ -80,12 +100,14 @@
 private:
   class Session;
   void acceptNext();
+  void startSession(asio::ip::tcp::socket socket);
 
   asio::io_context &Io;
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer AcceptRetryTimer;
   Handler Handle;
   RejectionHandler Reject;
+  ConcurrencyRule IsConcurrent;
   SessionLimits Limits;
   std::shared_ptr<ByteBudget> BodyBudget;
   bool Draining = false;
--- /dev/null
+++ b/src/libsavoryhttp/http_session_write.cpp
@@ -0,0 +1,141 @@
+#include "http_session.h"
+
+#include <algorithm>
+
+namespace savorylb {
+namespace {
+
+/// Time for a client to read the last response before the socket closes.
+constexpr Duration LingerTime = Millis(500);
+
+} // namespace
+
+/// Sends `100 Continue` if the request has an Expect field.
+void HttpServer::Session::sendContinue() {
+  // Behind earlier requests, it would be taken as part of their responses.
+  if (ContinueSent || !Exchanges.empty() || Writing ||
+      !findField(Reader->message(), "Expect"))
+    return;
+  ContinueSent = true;
+  Writing = true;
+  auto text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+  auto self = shared_from_this();
+  asio::async_write(
+      Socket, asio::buffer(*text),
+      [self, text](const boost::system::error_code &ec, std::size_t) {
+        self->Writing = false;
+        if (ec)
+          self->close(ClosedBy::Client);
+        else
+          self->writeNext();
+      });
+}
+
+HttpServer::Session::Exchange *
+HttpServer::Session::find(const std::shared_ptr<ServedRequest> &request) {
+  if (!request)
+    return nullptr;
+  auto it = std::find_if(
+      Exchanges.begin(), Exchanges.end(),
+      [&](const Exchange &exchange) { return exchange.Request == request; });
+  return it == Exchanges.end() ? nullptr : &*it;
+}
+
+void HttpServer::Session::respond(const std::shared_ptr<ServedRequest> &request,
+                                  HttpMessage response) {
+  Exchange *exchange = find(request);
+  if (!exchange)
+    return;
+  --Server.InFlight;
+  exchange->Request.reset();
+  WaitingBytes += response.Body.size();
+  exchange->Response = std::move(response);
+  writeNext();
+}
+
+void HttpServer::Session::abort(const std::shared_ptr<ServedRequest> &request) {
+  Exchange *exchange = find(request);
+  if (!exchange)
+    return;
+  exchange->Aborted = true;
+  writeNext();
+}
+
+void HttpServer::Session::writeNext() {
+  if (Closed || Writing || Lingering || Exchanges.empty())
+    return;
+  Exchange &next = Exchanges.front();
+  if (next.Aborted) {
+    close(ClosedBy::Server);
+    return;
+  }
+  if (!next.Response)
+    return;
+  bool last = Server.Draining && Exchanges.size() == 1;
+  write(std::move(*next.Response), last || next.ClosesConnection,
+        next.IsHeadRequest);
+}
+
+void HttpServer::Session::write(HttpMessage response, bool close,
+                                bool isHeadRequest) {
+  Writing = true;
+  WaitingBytes -= std::min(WaitingBytes, response.Body.size());
+  removeHopByHopFields(response);
+  auto head = std::make_shared<std::string>(
+      responseHead(response, close, isHeadRequest));
+  auto body = std::make_shared<std::string>(
+      isHeadRequest ? std::string() : std::move(response.Body));
+  std::array<asio::const_buffer, 2> parts = {asio::buffer(*head),
+                                             asio::buffer(*body)};
+  auto self = shared_from_this();
+  // The body stays charged to its budget until it is written.
+  auto memory = response.Memory;
+  // Called before each partial write.
+  auto restartTimer = [self](const boost::system::error_code &ec,
+                             std::size_t n) {
+    if (!ec && !self->Closed)
+      self->setWriteTimer(self->Server.Limits.WriteTimeout);
+    return asio::transfer_all()(ec, n);
+  };
+  asio::async_write(Socket, parts, restartTimer,
+                    [self, head, body, memory,
+                     close](const boost::system::error_code &ec, std::size_t) {
+                      self->onWritten(ec, close);
+                    });
+}
+
+void HttpServer::Session::onWritten(const boost::system::error_code &ec,
+                                    bool close) {
+  if (Closed)
+    return;
+  if (ec) {
+    this->close(ClosedBy::Client);
+    return;
+  }
+  Writing = false;
+  ++WriteTimerGeneration;
+  WriteTimer.cancel();
+  Exchanges.pop_front();
+  if (close) {
+    linger();
+    return;
+  }
+  if (idle())
+    becomeIdle();
+  advance();
+}
+
+void HttpServer::Session::linger() {
+  // Closing a socket with unread bytes sends a reset, which can discard the
+  // response before the client has read it.
+  Lingering = true;
+  cancelReadTimer();
+  Held.reset();
+  Reader.reset();
+  boost::system::error_code ignored; // Closed by the timer in any case.
+  Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  setWriteTimer(LingerTime);
+  readMore();
+}
+
+} // namespace savorylb
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -21,16 +21,6 @@
 /// or its deadline passed, and no target has run it.
 constexpr Duration NotRunRetryAfter = Millis(200);
 
-std::string hostName(const HttpMessage &request) {
-  const std::string *host = findField(request, "Host");
-  if (!host)
-    return "";
-  std::string name = host->substr(0, host->find(':'));
-  for (char &c : name)
-    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  return name;
-}
-
 /// \returns expected number of requests at the target, for the log.
 double expectedLoad(const SteeringState &state, const TargetId &target,
                     MonoTime now) {
@@ -57,7 +47,7 @@
       Steered.ArrivedAt +
       (Metadata.Timeout ? Duration(*Metadata.Timeout) : DefaultTimeout);
   Admission admission =
-      admitRequest(State, Steered, hostName(Request->Message),
+      admitRequest(State, Steered, requestHost(Request->Message),
                    Request->Message.Path, Metadata.TenantKey, now);
   if (admission.Status != 0) {
     refuse(admission.Status, admission.Reason, admission.RetryAfter);
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -150,6 +150,8 @@
       Ticker(io), Signals(io, SIGTERM, SIGHUP, SIGINT) {
   setBounds(State, Settings);
   Callers.setBodyBudget(std::make_shared<ByteBudget>(RequestBudgetBytes));
+  Callers.setConcurrencyRule(
+      [this](const HttpMessage &it) { return mayRunConcurrently(it); });
 }
 
 bool VmDaemon::start() {
@@ -195,6 +197,14 @@
   return State.Config && TargetsListed && !Stopping;
 }
 
+bool VmDaemon::mayRunConcurrently(const HttpMessage &request) const {
+  if (!State.Config)
+    return false;
+  const RouteRule *route =
+      findRoute(*State.Config, requestHost(request), request.Path);
+  return route && route->Retry == RetryRule::Retryable;
+}
+
 void VmDaemon::serveCaller(const std::shared_ptr<ServedRequest> &request) {
   if (!TargetsListed) {
     // Retry-After while the VM is not ready: 500 ms.
@@ -371,6 +381,9 @@
   Duration since = monoNow() - StopRequestedAt;
   if (since < AcceptAfterStop)
     return;
+  Callers.stopAccepting();
+  if (since < AcceptAfterStop + Millis(100))
+    return;
   Callers.closeIdle();
   bool graceExpired = since > Duration(Settings.StopGrace) - ShutdownReserve;
   // Connections on which a response is being written count as well.
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -32,6 +32,7 @@
   bool start();
 
 private:
+  bool mayRunConcurrently(const HttpMessage &request) const;
   void serveCaller(const std::shared_ptr<ServedRequest> &request);
   void serveReadiness(const std::shared_ptr<ServedRequest> &request);
   void serveLookup(const std::shared_ptr<ServedRequest> &request);
--- /dev/null
+++ b/src/savoryvm/vm_pipeline_test.cpp
@@ -0,0 +1,215 @@
+#include "vm_fixture.h"
+
+#include <csignal>
+
+using namespace savorylb;
+using namespace savorylb::standin;
+
+namespace {
+
+std::string requestText(const std::string &method, const std::string &path,
+                        const std::string &attempt) {
+  return method + " " + path +
+         " HTTP/1.1\r\nHost: maps.example\r\nAuthorization: Token key-1\r\n"
+         "Savorylb-Deadline-Milliseconds: 4000\r\nContent-Length: 0\r\n"
+         "Cookie: Savorylb-Affinity-Key=" +
+         attempt + "\r\nSavorylb-Attempt-Id: " + attempt + "\r\n\r\n";
+}
+
+std::string tileRequest(const std::string &attempt) {
+  return requestText("GET", "/tiles/1", attempt);
+}
+
+/// A caller that sends requests before it has the responses to earlier ones.
+struct PipeliningCaller {
+  VmFixture &Fixture;
+  asio::ip::tcp::socket Socket;
+  std::string Received;
+  bool Ended = false;
+
+  explicit PipeliningCaller(VmFixture &fixture)
+      : Fixture(fixture), Socket(fixture.Io) {
+    Socket.connect(*parseEndpoint(fixture.Platform.callerAddress(2)));
+    Socket.non_blocking(true);
+  }
+
+  void send(const std::string &text) {
+    boost::system::error_code ignored; // A closed connection is seen by poll().
+    asio::write(Socket, asio::buffer(text), ignored);
+  }
+
+  void poll() {
+    char buf[16384];
+    boost::system::error_code ec;
+    std::size_t n = Socket.read_some(asio::buffer(buf), ec);
+    Received.append(buf, n);
+    Ended |= ec && ec != asio::error::would_block;
+  }
+
+  bool receives(const std::string &text, Duration timeout = Seconds(3)) {
+    return Fixture.waitUntil(
+        [&] {
+          poll();
+          return Received.find(text) != std::string::npos;
+        },
+        timeout);
+  }
+
+  std::size_t position(const std::string &text) const {
+    return Received.find(text);
+  }
+
+  int responses(const std::string &status = "") const {
+    std::string line = "HTTP/1.1 " + status;
+    int n = 0;
+    for (std::size_t at = position(line); at != std::string::npos;
+         at = Received.find(line, at + 1))
+      ++n;
+    return n;
+  }
+};
+
+struct PipelineVm : VmFixture {
+  PlatformTarget &Tiles = Platform.addTarget("tiles", "tema-a");
+  PlatformTarget &Permits = Platform.addTarget("permits", "tema-a");
+
+  PipelineVm() {
+    addVm(2);
+    waitReady(2);
+  }
+};
+
+} // namespace
+
+TEST_GROUP(VmPipeline){};
+
+// Guards against requests that reach their targets only after the responses to
+// those before them.
+TEST(VmPipeline, SlowRequestDelaysLaterOnes) {
+  PipelineVm fixture;
+  fixture.Tiles.ServiceTime = Millis(400);
+  PipeliningCaller caller(fixture);
+  MonoTime sentAt = monoNow();
+  caller.send(tileRequest("t-1") + tileRequest("t-2") + tileRequest("t-3"));
+  CHECK_TRUE(caller.receives("answer to t-3"));
+  CHECK_TRUE(monoNow() - sentAt < Millis(800));
+  CHECK_TRUE(caller.position("answer to t-1") <
+             caller.position("answer to t-2"));
+  CHECK_TRUE(caller.position("answer to t-2") <
+             caller.position("answer to t-3"));
+}
+
+// Guards against running an at-most-once request before those ahead of it have
+// their responses.
+TEST(VmPipeline, AtMostOnceRequestRunsBesideOthers) {
+  PipelineVm fixture;
+  fixture.Tiles.ServiceTime = Millis(300);
+  PipeliningCaller caller(fixture);
+  caller.send(tileRequest("t-1") + requestText("POST", "/permits/1", "p-1") +
+              tileRequest("t-2"));
+  CHECK_TRUE(
+      fixture.waitUntil([&] { return fixture.Platform.runCount("t-1") == 1; }));
+  fixture.waitUntil([] { return false; }, Millis(100));
+  LONGS_EQUAL(0, fixture.Platform.runCount("p-1"));
+  LONGS_EQUAL(0, fixture.Platform.runCount("t-2"));
+  CHECK_TRUE(caller.receives("answer to t-2"));
+  LONGS_EQUAL(1, fixture.Platform.runCount("p-1"));
+}
+
+// Guards against one failed, refused or slow request that affects the
+// responses to others of its connection.
+TEST(VmPipeline, FailureAffectsOtherRequests) {
+  PipelineVm fixture;
+  PipeliningCaller caller(fixture);
+  caller.send(requestText("GET", "/unknown/1", "u-1") + tileRequest("t-1") +
+              requestText("GET", "/unknown/2", "u-2") + tileRequest("t-2"));
+  CHECK_TRUE(caller.receives("answer to t-2"));
+  LONGS_EQUAL(4, caller.responses());
+  fixture.Tiles.Mode = TargetMode::Silent;
+  caller.send(tileRequest("t-3"));
+  CHECK_TRUE(
+      fixture.waitUntil([&] { return fixture.Platform.runCount("t-3") == 1; }));
+  fixture.Tiles.Mode = TargetMode::Serve;
+  caller.send(tileRequest("t-4"));
+  CHECK_TRUE(caller.receives("answer to t-4", Seconds(4)));
+  std::size_t timeout = caller.position("HTTP/1.1 504");
+  CHECK_TRUE(timeout < caller.position("answer to t-4"));
+  LONGS_EQUAL(6, caller.responses());
+}
+
+// Guards against a team's limit that is counted once for a connection, and
+// against a refusal in the place of another response.
+TEST(VmPipeline, TeamLimitCountsConnections) {
+  VmFixture fixture;
+  fixture.Platform.TeamRequestsPerSecond = 3;
+  fixture.Platform.configure({"key-1"});
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  PipeliningCaller caller(fixture);
+  std::string text;
+  for (int i = 0; i < 12; ++i)
+    text += tileRequest("t-" + std::to_string(i));
+  caller.send(text);
+  CHECK_TRUE(fixture.waitUntil([&] {
+    caller.poll();
+    return caller.responses() == 12;
+  }));
+  int ran = 0;
+  for (int i = 0; i < 12; ++i) {
+    std::string attempt = "t-" + std::to_string(i);
+    ran += fixture.Platform.runCount(attempt);
+    bool answered =
+        caller.position("answer to " + attempt) != std::string::npos;
+    LONGS_EQUAL(fixture.Platform.runCount(attempt), answered ? 1 : 0);
+  }
+  CHECK_TRUE(ran >= 1 && ran < 12);
+}
+
+// Guards against targets that work on for a caller that left.
+TEST(VmPipeline, RequestsOfLeavingCallerGoOn) {
+  PipelineVm fixture;
+  fixture.Tiles.ServiceTime = Seconds(2);
+  {
+    PipeliningCaller caller(fixture);
+    caller.send(tileRequest("t-1") + tileRequest("t-2"));
+    CHECK_TRUE(fixture.waitUntil(
+        [&] { return fixture.Platform.runCount("t-2") == 1; }));
+  }
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Tiles.Cancelled == 2; },
+                               Millis(500)));
+}
+
+// Guards against a caller that keeps a stopping VM busy with pipelined requests
+// until the process ends and cuts off the last of them.
+TEST(VmPipeline, StopCutsOffLateRequests) {
+  PipelineVm fixture;
+  fixture.Tiles.ServiceTime = Millis(400);
+  PipeliningCaller caller(fixture);
+  int sent = 0;
+  auto sendOne = [&] {
+    caller.send(tileRequest("t-" + std::to_string(++sent)));
+    fixture.Io.run_for(std::chrono::milliseconds(50));
+    caller.poll();
+  };
+  for (int i = 0; i < 8; ++i)
+    sendOne();
+  std::raise(SIGTERM);
+  MonoTime stoppedAt = monoNow();
+  while (!caller.Ended && monoNow() < stoppedAt + Seconds(6))
+    sendOne();
+  CHECK_TRUE(monoNow() < stoppedAt + Millis(1500));
+  int ran = 0;
+  for (int i = 1; i <= sent; ++i) {
+    std::string attempt = "t-" + std::to_string(i);
+    int runs = fixture.Platform.runCount(attempt);
+    ran += runs;
+    bool answered =
+        caller.position("answer to " + attempt) != std::string::npos;
+    CHECK_TRUE(runs == 0 || answered);
+  }
+  // Others may be refused, as the target is busy.
+  LONGS_EQUAL(ran, caller.responses("200"));
+  LONGS_EQUAL(caller.responses(), ran + caller.responses("503"));
+  CHECK_TRUE(ran < sent);
+}
--- a/src/standins/platform/simulated_platform.h
+++ b/src/standins/platform/simulated_platform.h
@@ -59,6 +59,8 @@
   std::vector<std::unique_ptr<ScriptedServer>> ScriptedTargets;
   /// Limit of a request's body in the configuration.
   std::int64_t MaxBodyBytes = 1 << 20;
+  /// Rate limit of the team in the configuration; 0 for no limit.
+  int TeamRequestsPerSecond = 0;
   int Net = 0;
   int Version = 0;
 };
