Send nothing to a target that a planned stop would cut off

Cause: a stopping VM forwarded whatever it had taken, also a request whose expected time ends after the process does; with a route timeout of 20 s and a grace period of 6 s that request was cut off without a response.

Change: the phases of a stop are functions of the stop signal and the grace period (planned_stop). A request that is not expected to end before it is cut off, and has no earlier deadline, is refused with "stopping" and a short Retry-After: it has not run and other VMs can serve it at once.

--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -47,7 +47,7 @@
   double ExpectedUncachedMs = 0;
   /// Delay after which a refused request is likely to be served.
   Duration RetryAfter{0};
-  /// `no-target`, `overload`, `paused` or empty.
+  /// `no-target`, `overload`, `paused`, `stopping` or empty.
   const char *Reason = "";
   /// There is no target because all that are left are paused.
   bool AllPaused = false;
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -19,10 +19,9 @@
 constexpr double InitialUncachedFraction = 1.4;
 /// Weight of one response in the smoothed processing time.
 constexpr double ProcessingTimeWeight = 0.05;
-/// Minimum retry delay for a team over its limit.
-constexpr Duration MinLimitDelay = Millis(200);
-/// Retry delay while the VM has no configuration.
-constexpr Duration NoConfigRetryAfter = Millis(500);
+/// Retry delay of a request that this VM does not send because it stops. Other
+/// VMs can serve it at once.
+constexpr Duration StoppingRetryAfter = Millis(20);
 
 double roundTripMs(const SteeringState &state, const TargetState &target) {
   auto it = state.RoundTripMs.find(target.Entry.Zone);
@@ -76,25 +75,6 @@
       1.0, tookMs / std::max(outcome.ExpectedMs, outcome.ExpectedUncachedMs));
 }
 
-/// Chooses a split by weighted round robin, so that each split receives its
-/// share already over a few requests.
-ServiceId chooseSplit(SteeringState &state, const RouteRule &route) {
-  if (route.Splits.size() == 1)
-    return route.Splits.front().Service;
-  double sum = 0;
-  for (const RouteSplit &it : route.Splits)
-    sum += it.Weight;
-  auto &credit = state.SplitCredit[route.Id];
-  const RouteSplit *best = nullptr;
-  for (const RouteSplit &it : route.Splits) {
-    credit[it.Service] += sum > 0 ? it.Weight / sum : 1;
-    if (!best || credit[it.Service] > credit[best->Service])
-      best = &it;
-  }
-  credit[best->Service] -= 1;
-  return best->Service;
-}
-
 /// Restricts the versions of a service that a request may use.
 struct VersionRule {
   /// If not empty, the only version allowed.
@@ -225,66 +205,23 @@
                                                                  : choice;
 }
 
-} // namespace
-
-Admission admitRequest(SteeringState &state, SteeredRequest &request,
-                       const std::string &host, const std::string &path,
-                       const std::string &key, MonoTime now) {
-  if (!state.Config)
-    return {503, "no-configuration", NoConfigRetryAfter};
-  request.Config = state.Config;
-  const SteerConfig &config = *request.Config;
-  request.Route = findRoute(config, host, path);
-  if (!request.Route)
-    return {404, "no-route", Duration::zero()};
-  auto holder = config.Keys.find(key);
-  if (holder != config.Keys.end())
-    request.Team = holder->second;
-  else if (config.KeysRequired && !request.Route->Public)
-    return {401, "unknown-key", Duration::zero()};
-  request.Service = chooseSplit(state, *request.Route);
-  countRequest(state.Services[request.Service].Retries, now);
-  request.Deadline =
-      std::min(request.Deadline, request.ArrivedAt + request.Route->Timeout);
-  auto team = config.Teams.find(request.Team);
-  if (team == config.Teams.end())
-    return {};
-  request.MatchedTeamRule = &team->second;
-  TeamLimit &limit = state.LocalTeamLimits[request.Team];
-  countArrival(limit);
-  double rate = team->second.RequestsPerSecond;
-  if (rate <= 0)
-    return {};
-  TeamThrottle &throttle = state.Throttles[request.Team];
-  throttle.LastArrivalAt = now;
-  throttle.Unreported.Arrivals += 1;
-  double own = limit.DemandPerSecond;
-  double all = own + peerDemand(state.Fleet, request.Team, now);
-  int vms = static_cast<int>(liveVms(state.Fleet, now).size());
-  double share = shareOfLimit(own, all, vms);
-  // The VM's own bucket is kept up to date also while the ledger decides. It
-  // takes over when the ledger's owner is unreachable.
-  bool hadToken = takeTeamToken(limit, rate, team->second.Burst, share, now);
-  bool admitted =
-      fractionValid(throttle, now) ? admitByFraction(throttle) : hadToken;
-  if (admitted) {
-    throttle.Unreported.Admitted += 1;
-    return {};
-  }
-  if (hadToken)
-    returnTeamToken(limit);
-  return {
-      429, "team-limit",
-      std::max(Duration(MinLimitDelay), teamTokenDelay(limit, rate, share))};
+/// Refuses a request that would be cut off by the end of this VM.
+PlacementChoice refuseBeforeStop(const SteeringState &state,
+                                 const SteeredRequest &request,
+                                 PlacementChoice choice, MonoTime now) {
+  if (!state.Stop || !choice.Target)
+    return choice;
+  double ms = std::max(choice.ExpectedMs, choice.ExpectedUncachedMs);
+  auto expected = Duration(static_cast<Duration::rep>(ms * 1000.0));
+  if (endsBeforeStop(*state.Stop, expected, request.Deadline, now))
+    return choice;
+  choice.Target = nullptr;
+  choice.Reason = "stopping";
+  choice.RetryAfter = StoppingRetryAfter;
+  return choice;
 }
 
-void refundAdmission(SteeringState &state, const SteeredRequest &request) {
-  if (!request.MatchedTeamRule ||
-      request.MatchedTeamRule->RequestsPerSecond <= 0)
-    return;
-  returnTeamToken(state.LocalTeamLimits[request.Team]);
-  state.Throttles[request.Team].Unreported.Admitted -= 1;
-}
+} // namespace
 
 PlacementChoice chooseTarget(SteeringState &state, SteeredRequest &request,
                              MonoTime now) {
@@ -314,7 +251,8 @@
   query.CachedMs = mean.CachedMs;
   query.UncachedMs = mean.UncachedMs;
   PlacementChoice choice = placeRequest(query, candidates.Usable, now);
-  return limitRegionReturn(state, query, candidates.Usable, choice, now);
+  choice = limitRegionReturn(state, query, candidates.Usable, choice, now);
+  return refuseBeforeStop(state, request, choice, now);
 }
 
 void recordSend(SteeringState &state, SteeredRequest &request,
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -3,6 +3,7 @@
 
 #include "fleet_view.h"
 #include "placement_policy.h"
+#include "planned_stop.h"
 #include "region_shares.h"
 #include "retry_window.h"
 #include "rollout_stage.h"
@@ -67,6 +68,8 @@
 struct SteeringState {
   SteeringBounds Bounds;
   std::map<ZoneId, RegionId> Zones;
+  /// Set from the stop signal on.
+  std::optional<PlannedStop> Stop;
   std::shared_ptr<const SteerConfig> Config;
   /// Revision of the newest operators' document.
   StorePosition DocumentsRevision;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -34,8 +34,8 @@
 constexpr Millis SystemWatchWait(3000);
 constexpr Duration SystemWatchPause = Millis(1500);
 /// Upper limit of the setting `lookup_max_age`. Callers repeat a lookup after
-/// this time and so stop using a VM that shuts down; must be shorter than
-/// AcceptAfterStop.
+/// this time and so stop using a VM that shuts down; must be shorter than the
+/// time until acceptsUntil().
 constexpr Duration LookupMaxAgeLimit = Millis(2000);
 /// The store counts as unreachable after this time without a response. A failed
 /// call is logged only if no other call failed for this time before it.
@@ -49,10 +49,6 @@
 constexpr std::int64_t RequestBudgetBytes = 72 << 20;
 /// Retry-After value of a response to a request whose body does not fit.
 constexpr Duration NoMemoryRetryAfter = Millis(500);
-/// How long a VM accepts callers after the stop signal, and the part of the
-/// grace period that is reserved for ending the process.
-constexpr Duration AcceptAfterStop = Millis(2800);
-constexpr Duration ShutdownReserve = Millis(400);
 /// Shortest time between two writes of a rollout's status, so that the outcome
 /// of the first is known before the next.
 constexpr Duration RolloutWriteInterval = Millis(1200);
@@ -368,7 +364,7 @@
   if (Stopping)
     return;
   Stopping = true;
-  StopRequestedAt = monoNow();
+  State.Stop = PlannedStop{monoNow(), Settings.StopGrace};
   State.Fleet.SelfDraining = true;
   logEvent(EventCode::DrainStarted,
            {{"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
@@ -378,19 +374,20 @@
 }
 
 void VmDaemon::advanceShutdown() {
-  Duration since = monoNow() - StopRequestedAt;
-  if (since < AcceptAfterStop)
-    return;
-  Callers.stopAccepting();
-  if (since < AcceptAfterStop + Millis(100))
+  MonoTime now = monoNow();
+  // The settings may have changed since the signal.
+  State.Stop->Grace = Settings.StopGrace;
+  if (now >= acceptsUntil(*State.Stop))
+    Callers.stopAccepting();
+  if (now < closesIdleAt(*State.Stop))
     return;
   Callers.closeIdle();
-  bool graceExpired = since > Duration(Settings.StopGrace) - ShutdownReserve;
+  bool graceExpired = now >= cutsOffAt(*State.Stop);
   // Connections on which a response is being written count as well.
   if (Callers.connections() > 0 && !graceExpired)
     return;
   logEvent(EventCode::DaemonStopped,
-           {{"drain_ms", since.count() / 1000},
+           {{"drain_ms", (now - State.Stop->RequestedAt).count() / 1000},
             {"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
   closeEventLog();
   Io.stop();
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -106,7 +106,6 @@
   MonoTime ReportedAt{};
   MonoTime ReloadedAt{};
   MonoTime TickedAt{};
-  MonoTime StopRequestedAt{};
   bool Stopping = false;
   bool Accepting = true;
   bool WasReady = false;
--- a/src/savoryvm/vm_pipeline_test.cpp
+++ b/src/savoryvm/vm_pipeline_test.cpp
@@ -213,3 +213,26 @@
   LONGS_EQUAL(caller.responses(), ran + caller.responses("503"));
   CHECK_TRUE(ran < sent);
 }
+
+// Guards against a request that is forwarded late in the grace period, when it
+// cannot end before the process does.
+TEST(VmPipeline, UploadThatEndsLateIsCutOff) {
+  PipelineVm fixture;
+  ConfigTimeouts timeouts;
+  timeouts.Route = Seconds(20);
+  fixture.Platform.configure({"key-1"}, timeouts);
+  fixture.waitUntil([] { return false; }, Millis(600));
+  fixture.Permits.ServiceTime = Millis(1500);
+  PipeliningCaller caller(fixture);
+  std::string head = "POST /permits/1 HTTP/1.1\r\nHost: maps.example\r\n"
+                     "Authorization: Token key-1\r\n"
+                     "Savorylb-Attempt-Id: p-1\r\nContent-Length: 4\r\n\r\n";
+  caller.send(head + "ab");
+  fixture.Io.run_for(std::chrono::milliseconds(50));
+  std::raise(SIGTERM);
+  fixture.Io.run_for(std::chrono::milliseconds(5350));
+  caller.send("cd");
+  CHECK_TRUE(caller.receives("503", Millis(200)));
+  CHECK_TRUE(caller.position("Retry-After") != std::string::npos);
+  LONGS_EQUAL(0, fixture.Platform.runCount("p-1"));
+}
