Refuse a request that arrives after its deadline

Change: it is refused with 503 before it is sent. Held and buffered pipelined requests can arrive late as well.

--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -54,6 +54,10 @@
     return;
   }
   ChargedToTeam = Steered.MatchedTeamRule != nullptr;
+  if (tooLateToSend()) {
+    refuse(503, "timeout", NotRunRetryAfter);
+    return;
+  }
   std::weak_ptr<RequestProxy> weak = shared_from_this();
   auto self = shared_from_this();
   // The callback keeps this object alive until it has responded or the caller's
--- a/src/savoryvm/vm_pipeline_test.cpp
+++ b/src/savoryvm/vm_pipeline_test.cpp
@@ -236,3 +236,18 @@
   CHECK_TRUE(caller.position("Retry-After") != std::string::npos);
   LONGS_EQUAL(0, fixture.Platform.runCount("p-1"));
 }
+
+// Guards against sending a request whose deadline passed while it arrived, and
+// against a response that does not say that it has not run.
+TEST(VmPipeline, RequestThatArrivesAfterItsDeadlineIsSent) {
+  PipelineVm fixture;
+  PipeliningCaller caller(fixture);
+  caller.send("POST /permits/1 HTTP/1.1\r\nHost: maps.example\r\n"
+              "Authorization: Token key-1\r\n"
+              "Savorylb-Deadline-Milliseconds: 200\r\n"
+              "Savorylb-Attempt-Id: p-1\r\nContent-Length: 4\r\n\r\nab");
+  fixture.Io.run_for(std::chrono::milliseconds(400));
+  caller.send("cd");
+  CHECK_TRUE(caller.receives("HTTP/1.1 503"));
+  LONGS_EQUAL(0, fixture.Permits.Received);
+}
