Enter a new era of the store wherever it is learned

DocumentAfterAdoptedEraIsLate and SecondRestoreEndsALostEvacuation fail on the earlier code; AnnouncedEraIsForgottenAfterAFailedList and WrongEraKeepsTheMirrorListing pass on it and guard the change.

--- a/src/savoryvm/store_restore_test.cpp
+++ b/src/savoryvm/store_restore_test.cpp
@@ -157,6 +157,32 @@
       fixture.waitUntil([&] { return runsAt(fixture, target, 20) > 0; }));
 }
 
+// Guards against ending an evacuation that the operator writes again only after
+// a second restore.
+TEST(StoreRestore, SecondRestoreEndsALostEvacuation) {
+  VmFixture fixture;
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.Platform.addTarget("tiles", "tema-b");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  CHECK_TRUE(runsAt(fixture, target, 20) > 0);
+  fixture.Platform.Store.takeCopy();
+  fixture.Platform.Store.put("op/evacuate/tema-a", "{}");
+  runFor(fixture, Millis(1000));
+  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  loseWrites(fixture, [] {});
+  runFor(fixture, Millis(2500));
+  loseWrites(fixture, [] {});
+  // The operator writes lost documents again within 3 s.
+  for (int i = 0; i < 5; ++i) {
+    runFor(fixture, Millis(500));
+    LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  }
+  fixture.Platform.Store.put("op/evacuate/tema-a", "{}");
+  runFor(fixture, Millis(2500));
+  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+}
+
 // Guards against using a target that drains or has left by its older entry.
 TEST(StoreRestore, DrainedAndRemovedTargetsAreNotUsed) {
   VmFixture fixture;
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -12,6 +12,9 @@
 /// milliseconds.
 constexpr Duration CallTimeout = Millis(900);
 constexpr Duration RetryPause = Millis(250);
+/// Shortest time between two lists while the mirror is of an older era than the
+/// store.
+constexpr Duration EraListInterval = Millis(400);
 /// How long a follower waits for changes, and for the response after that. Two
 /// failed watchers take at most 2 s, which leaves 0.5 s to query the store
 /// within the 2.5 s in which a configuration must be in force.
@@ -53,9 +56,21 @@
 }
 
 void StoreSync::enterEra(StoreEra era) {
-  if (!isListed(Mirror) || era <= Mirror.KnownRevision.Era || Listing)
-    return;
-  // The call in progress waits for changes of the older era.
+  if (era > AnnouncedEra) {
+    AnnouncedEra = era;
+    ListedSinceAnnounced = false;
+  }
+  if (isBehindEra() && !Listing)
+    restartList();
+}
+
+bool StoreSync::isBehindEra() const {
+  return isListed(Mirror) && Mirror.KnownRevision.Era < AnnouncedEra;
+}
+
+/// Lists the documents without waiting for the call in progress, which concerns
+/// an older era.
+void StoreSync::restartList() {
   ++StepGeneration;
   Timer.cancel();
   Channel.close();
@@ -81,8 +96,11 @@
 
 void StoreSync::list(const std::string &after) {
   Listing = true;
-  if (after.empty())
+  if (after.empty()) {
     PendingList = platform::StorePage();
+    ListedSinceAnnounced = true;
+    EraListedAt = monoNow();
+  }
   Channel.call(platform::listRequest(Mirror.Prefix, after), CallTimeout,
                [this, after](const Result<HttpMessage> &response) {
                  isNewEra(response);
@@ -119,6 +137,9 @@
   NeedsList = false;
   StoreFailing = false;
   OnContact(true);
+  // The store itself shows that the announcement was wrong.
+  if (ListedSinceAnnounced)
+    AnnouncedEra = std::min(AnnouncedEra, era);
   OnChanged(applySnapshot(Mirror, PendingList));
   Mirror.KnownRevision = PendingList.StoreRevision;
   answerFollowers();
@@ -126,6 +147,11 @@
 }
 
 void StoreSync::watch() {
+  // A watcher may be of the older era as well.
+  if (isBehindEra() && monoNow() - EraListedAt >= EraListInterval) {
+    list("");
+    return;
+  }
   std::string address = selectWatcher(
       Selection,
       PreferredWatchers ? PreferredWatchers() : std::vector<std::string>(),
@@ -263,8 +289,13 @@
 void StoreSync::adopt(const platform::StorePage &page) {
   if (page.StoreRevision <= Mirror.KnownRevision)
     return;
+  bool newEra =
+      isListed(Mirror) && page.StoreRevision.Era > Mirror.KnownRevision.Era;
   NeedsList = false;
   OnChanged(applySnapshot(Mirror, page));
+  // A watch in progress began at a revision of the older era.
+  if (newEra && !Listing)
+    restartList();
 }
 
 } // namespace savorylb
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -46,7 +46,7 @@
   void reportEras(EraCallback report) { OnEra = std::move(report); }
 
   /// Lists the documents again, without waiting for the call in progress, if
-  /// the mirror is of an older era.
+  /// the mirror is of an older era, until a list of that era succeeds.
   void enterEra(StoreEra era);
 
   /// Lists the documents, then watches for changes.
@@ -66,6 +66,8 @@
   const StoreMirror &mirror() const { return Mirror; }
 
 private:
+  bool isBehindEra() const;
+  void restartList();
   void list(const std::string &after);
   void onListPage(const platform::StorePage &page, bool first);
   bool isNewEra(const Result<HttpMessage> &response);
@@ -94,6 +96,10 @@
   bool NeedsList = true;
   /// A list is in progress.
   bool Listing = false;
+  /// The highest era that was announced, and whether a list began after that.
+  StoreEra AnnouncedEra;
+  bool ListedSinceAnnounced = false;
+  MonoTime EraListedAt{};
   /// Incremented to discard the step that the timer will run.
   std::uint64_t StepGeneration = 0;
   bool StoreFailing = false;
--- /dev/null
+++ b/src/savoryvm/store_sync_test.cpp
@@ -0,0 +1,118 @@
+#include "platform_store.h"
+#include "store_sync.h"
+
+#include "savorylb/clock.h"
+
+// Redefines operator new; must be included after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace savorylb;
+using namespace savorylb::standin;
+
+namespace {
+
+/// The time within which a configuration must be in force.
+constexpr Duration ConfigApply = Millis(2500);
+
+int NextHost = 1;
+
+/// One mirror of a simulated store.
+struct SyncFixture {
+  asio::io_context Io;
+  PlatformStore Store{Io};
+  std::string Address = "127.0.201." + std::to_string(NextHost++) + ":8601";
+  std::map<std::string, std::string> Seen;
+  StoreEra Era;
+  std::unique_ptr<StoreSync> Sync;
+
+  SyncFixture() {
+    CHECK_TRUE(Store.listen(Address));
+    Store.put("op/a", "1");
+    Sync = std::make_unique<StoreSync>(
+        Io, Address, "op/", Millis(2500), Millis(150),
+        [this](const auto &changes) {
+          for (const platform::StoreItem &it : changes)
+            Seen[it.Key] = it.Value;
+        },
+        [](bool) {});
+    Sync->reportEras([this](StoreEra era) { Era = std::max(Era, era); });
+    Sync->start();
+    CHECK_TRUE(waitUntil([&] { return Seen["op/a"] == "1"; }));
+  }
+
+  bool waitUntil(const std::function<bool()> &condition,
+                 Duration timeout = Seconds(5)) {
+    MonoTime end = monoNow() + timeout;
+    while (!condition() && monoNow() < end) {
+      Io.run_for(std::chrono::milliseconds(5));
+      Io.restart();
+    }
+    return condition();
+  }
+
+  void runFor(Duration time) {
+    waitUntil([] { return false; }, time);
+  }
+
+  /// Lets the mirror wait for an answer that never comes.
+  void leaveWatchUnanswered() {
+    StoreFaults faults;
+    faults.Silent = true;
+    Store.setFaults(faults);
+    Store.put("op/b", "2"); // Ends the watch in progress.
+    CHECK_TRUE(waitUntil([&] { return Seen["op/b"] == "2"; }));
+    runFor(Millis(300));
+    Store.setFaults(StoreFaults());
+  }
+};
+
+} // namespace
+
+TEST_GROUP(StoreSync){};
+
+// Guards against a document that is seen late because a watch of the older era
+// still waits after a snapshot of a newer era was adopted.
+TEST(StoreSync, DocumentAfterAdoptedEraIsLate) {
+  SyncFixture fixture;
+  fixture.Store.takeCopy();
+  fixture.leaveWatchUnanswered();
+  fixture.Store.restoreCopy();
+  platform::StorePage page;
+  page.StoreRevision = {StoreEra(2), Revision(1)};
+  fixture.Sync->adopt(page);
+  fixture.Store.put("op/c", "3");
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Seen["op/c"] == "3"; },
+                               ConfigApply));
+}
+
+// Guards against an announced era that is forgotten when the list fails or is
+// of the older era.
+TEST(StoreSync, AnnouncedEraIsForgottenAfterAFailedList) {
+  SyncFixture fixture;
+  fixture.Store.takeCopy();
+  fixture.leaveWatchUnanswered();
+  fixture.Store.restoreCopy();
+  StoreFaults faults;
+  faults.Silent = true;
+  fixture.Store.setFaults(faults);
+  fixture.Sync->enterEra(StoreEra(2));
+  fixture.runFor(Millis(500));
+  fixture.Store.setFaults(StoreFaults());
+  fixture.Store.put("op/c", "3");
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Seen["op/c"] == "3"; },
+                               ConfigApply));
+  LONGS_EQUAL(2, fixture.Sync->mirror().KnownRevision.Era.Value);
+}
+
+// Guards against lists without end when an announced era is wrong.
+TEST(StoreSync, WrongEraKeepsTheMirrorListing) {
+  SyncFixture fixture;
+  fixture.Sync->enterEra(StoreEra(7));
+  fixture.runFor(Millis(1000));
+  std::int64_t calls = fixture.Store.calls();
+  fixture.runFor(Millis(1500));
+  CHECK_TRUE(fixture.Store.calls() - calls <= 2);
+  fixture.Store.put("op/c", "3");
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Seen["op/c"] == "3"; },
+                               ConfigApply));
+}
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -56,6 +56,7 @@
 
   void onStoreEra(StoreEra era);
   void logNewEra();
+  void extendHolds(MonoTime now);
   bool holdDocument(const platform::StoreItem &item);
   bool isOutdatedTarget(const platform::StoreItem &item,
                         const TargetEntry &entry, MonoTime now) const;
--- a/src/savoryvm/vm_restore.cpp
+++ b/src/savoryvm/vm_restore.cpp
@@ -12,6 +12,13 @@
 /// back. A VM may see the loss up to one second later than others.
 constexpr Duration OperatorRewriteGrace = Millis(4000);
 
+/// \returns how long a document that the store lost is held.
+Duration holdTime(const std::string &key) {
+  // VMs register again as soon as they see the new era.
+  bool vm = platform::parseStoreKey(key).Kind == platform::DocumentKind::Vm;
+  return vm ? LeaseLapseGrace : OperatorRewriteGrace;
+}
+
 void logOutdated(const platform::StoreItem &item) {
   logEvent(EventCode::DocumentOutdated,
            {{"key", item.Key},
@@ -27,6 +34,7 @@
     return;
   if (isListed(OperatorSync.mirror())) {
     EraEnteredAt = monoNow();
+    extendHolds(EraEnteredAt);
     if (!KnownBeforeEra)
       KnownBeforeEra = OperatorSync.mirror().KnownRevision;
   }
@@ -39,6 +47,14 @@
   });
 }
 
+/// What is held since an earlier restore may be written again only now.
+void VmDaemon::extendHolds(MonoTime now) {
+  for (auto &[key, held] : HeldDocuments)
+    held.Until = std::max(held.Until, now + holdTime(key));
+  for (auto &[target, until] : PendingRemovals)
+    until = std::max(until, now + LeaseLapseGrace);
+}
+
 void VmDaemon::logNewEra() {
   const StorePosition &known = OperatorSync.mirror().KnownRevision;
   if (!KnownBeforeEra || known.Era <= KnownBeforeEra->Era)
@@ -56,7 +72,6 @@
     return false;
   platform::StoreKey key = platform::parseStoreKey(item.Key);
   bool held = false;
-  Duration grace = OperatorRewriteGrace;
   switch (key.Kind) {
   case platform::DocumentKind::Evacuation:
     held = item.Removed;
@@ -69,9 +84,7 @@
     break;
   }
   case platform::DocumentKind::Vm:
-    // The VM registers again as soon as it sees the new era.
     held = item.Removed;
-    grace = LeaseLapseGrace;
     break;
   default:
     break;
@@ -79,7 +92,7 @@
   if (!held)
     return false;
   logOutdated(item);
-  HeldDocuments[item.Key] = {item, monoNow() + grace};
+  HeldDocuments[item.Key] = {item, monoNow() + holdTime(item.Key)};
   HeldDocuments[item.Key].Item.FromCopy = false;
   return true;
 }
