--- a/src/standins/platform/scripted_server.cpp
+++ b/src/standins/platform/scripted_server.cpp
@@ -41,6 +41,7 @@
       ScriptedReply reply = Server.Reply(request, ++Requests);
       Out = reply.Bytes;
       Block = reply.Endless.empty() ? "" : repeated(reply.Endless);
+      End = reply.End;
       write();
       return;
     }
@@ -65,13 +66,22 @@
           if (ec)
             return;
           self->Out = self->Block;
-          if (self->Out.empty())
+          if (self->End != ReplyEnd::KeepOpen)
+            self->end();
+          else if (self->Out.empty())
             self->readRequest();
           else
             self->write();
         });
   }
 
+  void end() {
+    boost::system::error_code ignored; // The socket is discarded in any case.
+    if (End == ReplyEnd::Reset)
+      Socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    Socket.close(ignored);
+  }
+
   ScriptedServer &Server;
   asio::ip::tcp::socket Socket;
   std::string Buffer;
@@ -79,6 +89,7 @@
   std::optional<HttpReader> Reader;
   std::string Out;
   std::string Block;
+  ReplyEnd End = ReplyEnd::KeepOpen;
   int Requests = 0;
 };
 
--- a/src/standins/platform/scripted_server.h
+++ b/src/standins/platform/scripted_server.h
@@ -11,12 +11,16 @@
 
 namespace asio = boost::asio;
 
+/// What a scripted server does after it has written a reply.
+enum class ReplyEnd { KeepOpen, Close, Reset };
+
 /// The raw bytes that a scripted server writes after one request.
 struct ScriptedReply {
   std::string Bytes;
   /// Written again and again after Bytes until the client closes the
   /// connection.
   std::string Endless;
+  ReplyEnd End = ReplyEnd::KeepOpen;
 };
 
 /// A server that writes arbitrary bytes instead of valid responses.
