--- a/src/savoryctl/request_timeline.cpp
+++ b/src/savoryctl/request_timeline.cpp
@@ -126,6 +126,9 @@
            std::string(hasEvent(lines, "store_unreachable")
                            ? "; it could not reach the store."
                            : ".");
+  if (reason == "stopping")
+    return "The VM was stopping and would have cut it off; another VM can "
+           "serve it.";
   if (reason == "unknown-key")
     return "The caller's key is not in the configuration in force, version " +
            outcome["config"].asString() + ".";
--- a/src/savoryctl/request_timeline_test.cpp
+++ b/src/savoryctl/request_timeline_test.cpp
@@ -95,6 +95,7 @@
   };
   checkCause("no free slot", timelineOf(refused("overload")));
   checkCause("900 ms", timelineOf(refused("overload")));
+  checkCause("was stopping", timelineOf(refused("stopping")));
   checkCause("Team port was over its limit", timelineOf(refused("team-limit")));
   checkCause("No target of tiles", timelineOf(refused("no-target")));
   checkCause("without running it", timelineOf(refused("shed")));
