--- a/src/libsavoryhttp/http_session.cpp
+++ b/src/libsavoryhttp/http_session.cpp
@@ -26,8 +26,8 @@
 }
 
 bool HttpServer::Session::idle() const {
-  return Exchanges.empty() && !Held && !Writing && !Lingering &&
-         Buffer.empty() && !readerStarted();
+  return Pending.empty() && !Held && !Writing && !Lingering && Buffer.empty() &&
+         !readerStarted();
 }
 
 void HttpServer::Session::close(ClosedBy by) {
@@ -43,9 +43,9 @@
   Server.Sessions.erase(self);
   Held.reset();
   Reader.reset();
-  auto exchanges = std::move(Exchanges);
-  Exchanges.clear();
-  for (Exchange &it : exchanges) {
+  auto pending = std::move(Pending);
+  Pending.clear();
+  for (PendingResponse &it : pending) {
     if (!it.Request) {
       if (!it.Aborted)
         incrementCounter("responses_not_sent");
@@ -76,19 +76,19 @@
     return false;
   // While draining, the response to the last request that was taken closes the
   // connection. The client may send later ones again, since they were not read.
-  if (Server.Draining && !Exchanges.empty())
+  if (Server.Draining && !Pending.empty())
     return false;
-  return Exchanges.size() < Server.Limits.MaxOutstanding &&
+  return Pending.size() < Server.Limits.MaxOutstanding &&
          WaitingBytes < Server.Limits.MaxWaitingBytes;
 }
 
 bool HttpServer::Session::mayServe(const HttpMessage &request) const {
-  if (Exchanges.empty())
+  if (Pending.empty())
     return true;
   if (Server.Draining || !isConcurrent(request))
     return false;
   // A request that is not concurrent is served only as the first one.
-  const std::shared_ptr<ServedRequest> &oldest = Exchanges.front().Request;
+  const std::shared_ptr<ServedRequest> &oldest = Pending.front().Request;
   return !oldest || isConcurrent(oldest->Message);
 }
 
@@ -171,10 +171,10 @@
   Reader.reset(); // Releases the part of the body that was read.
   cancelReadTimer();
   LastRequestTaken = true;
-  Exchange exchange;
-  exchange.Response = Server.Reject(status, reason);
-  exchange.ClosesConnection = true;
-  Exchanges.push_back(std::move(exchange));
+  PendingResponse entry;
+  entry.Response = Server.Reject(status, reason);
+  entry.ClosesConnection = true;
+  Pending.push_back(std::move(entry));
   writeNext();
 }
 
@@ -182,9 +182,9 @@
   Reader.reset();
   cancelReadTimer();
   LastRequestTaken = true;
-  Exchange exchange;
-  exchange.Aborted = true;
-  Exchanges.push_back(std::move(exchange));
+  PendingResponse entry;
+  entry.Aborted = true;
+  Pending.push_back(std::move(entry));
   writeNext();
 }
 
@@ -204,11 +204,11 @@
       self->abort(weakRequest.lock());
   };
   LastRequestTaken |= !request->Message.KeepAlive;
-  Exchange exchange;
-  exchange.Request = request;
-  exchange.ClosesConnection = !request->Message.KeepAlive;
-  exchange.IsHeadRequest = request->Message.Method == "HEAD";
-  Exchanges.push_back(std::move(exchange));
+  PendingResponse entry;
+  entry.Request = request;
+  entry.ClosesConnection = !request->Message.KeepAlive;
+  entry.IsHeadRequest = request->Message.Method == "HEAD";
+  Pending.push_back(std::move(entry));
   // The handler may respond synchronously.
   Server.Handle(request);
 }
--- a/src/libsavoryhttp/http_session.h
+++ b/src/libsavoryhttp/http_session.h
@@ -26,7 +26,7 @@
 
 private:
   /// A request whose response has not been written completely.
-  struct Exchange {
+  struct PendingResponse {
     /// Null once the response is known.
     std::shared_ptr<ServedRequest> Request;
     std::optional<HttpMessage> Response;
@@ -60,7 +60,7 @@
   void respond(const std::shared_ptr<ServedRequest> &request,
                HttpMessage response);
   void abort(const std::shared_ptr<ServedRequest> &request);
-  Exchange *find(const std::shared_ptr<ServedRequest> &request);
+  PendingResponse *find(const std::shared_ptr<ServedRequest> &request);
 
   void rejectInvalid();
   /// Responds without calling the handler and takes no further requests.
@@ -106,8 +106,8 @@
   /// A complete request that may not run concurrently with those before it.
   std::optional<HttpMessage> Held;
   /// In the order of the requests.
-  std::deque<Exchange> Exchanges;
-  /// Total body size of the responses in Exchanges.
+  std::deque<PendingResponse> Pending;
+  /// Total body size of the responses in Pending.
   std::size_t WaitingBytes = 0;
   MonoTime IdleSince{};
   bool Reading = false;
--- a/src/libsavoryhttp/http_session_write.cpp
+++ b/src/libsavoryhttp/http_session_write.cpp
@@ -13,7 +13,7 @@
 /// Sends `100 Continue` if the request has an Expect field.
 void HttpServer::Session::sendContinue() {
   // Behind earlier requests, it would be taken as part of their responses.
-  if (ContinueSent || !Exchanges.empty() || Writing ||
+  if (ContinueSent || !Pending.empty() || Writing ||
       !findField(Reader->message(), "Expect"))
     return;
   ContinueSent = true;
@@ -31,47 +31,47 @@
       });
 }
 
-HttpServer::Session::Exchange *
+HttpServer::Session::PendingResponse *
 HttpServer::Session::find(const std::shared_ptr<ServedRequest> &request) {
   if (!request)
     return nullptr;
   auto it = std::find_if(
-      Exchanges.begin(), Exchanges.end(),
-      [&](const Exchange &exchange) { return exchange.Request == request; });
-  return it == Exchanges.end() ? nullptr : &*it;
+      Pending.begin(), Pending.end(),
+      [&](const PendingResponse &entry) { return entry.Request == request; });
+  return it == Pending.end() ? nullptr : &*it;
 }
 
 void HttpServer::Session::respond(const std::shared_ptr<ServedRequest> &request,
                                   HttpMessage response) {
-  Exchange *exchange = find(request);
-  if (!exchange)
+  PendingResponse *entry = find(request);
+  if (!entry)
     return;
   --Server.InFlight;
-  exchange->Request.reset();
+  entry->Request.reset();
   WaitingBytes += response.Body.size();
-  exchange->Response = std::move(response);
+  entry->Response = std::move(response);
   writeNext();
 }
 
 void HttpServer::Session::abort(const std::shared_ptr<ServedRequest> &request) {
-  Exchange *exchange = find(request);
-  if (!exchange)
+  PendingResponse *entry = find(request);
+  if (!entry)
     return;
-  exchange->Aborted = true;
+  entry->Aborted = true;
   writeNext();
 }
 
 void HttpServer::Session::writeNext() {
-  if (Closed || Writing || Lingering || Exchanges.empty())
+  if (Closed || Writing || Lingering || Pending.empty())
     return;
-  Exchange &next = Exchanges.front();
+  PendingResponse &next = Pending.front();
   if (next.Aborted) {
     close(ClosedBy::Server);
     return;
   }
   if (!next.Response)
     return;
-  bool last = Server.Draining && Exchanges.size() == 1;
+  bool last = Server.Draining && Pending.size() == 1;
   write(std::move(*next.Response), last || next.ClosesConnection,
         next.IsHeadRequest);
 }
@@ -115,7 +115,7 @@
   Writing = false;
   ++WriteTimerGeneration;
   WriteTimer.cancel();
-  Exchanges.pop_front();
+  Pending.pop_front();
   if (close) {
     linger();
     return;
--- a/src/savoryvm/store_restore_test.cpp
+++ b/src/savoryvm/store_restore_test.cpp
@@ -68,6 +68,21 @@
   return target.Runs.size();
 }
 
+/// Starts a VM, and evacuates a zone after the store has copied its items.
+/// \returns a target of that zone.
+PlatformTarget &evacuateAfterCopy(VmFixture &fixture) {
+  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.Platform.addTarget("tiles", "tema-b");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  CHECK_TRUE(runsAt(fixture, target, 20) > 0);
+  fixture.Platform.Store.takeCopy();
+  fixture.Platform.Store.put("op/evacuate/tema-a", "{}");
+  runFor(fixture, Millis(1000));
+  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  return target;
+}
+
 void writeOrder(VmFixture &fixture, const std::string &version) {
   fixture.Platform.Store.put("op/rollout/tiles",
                              R"({"service":"tiles","targetVersion":")" +
@@ -136,15 +151,7 @@
 // Guards against sending to an evacuated zone that the copy does not show.
 TEST(StoreRestore, LostEvacuationHoldsUntilItIsWrittenAgain) {
   VmFixture fixture;
-  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
-  fixture.Platform.addTarget("tiles", "tema-b");
-  fixture.addVm(2);
-  fixture.waitReady(2);
-  CHECK_TRUE(runsAt(fixture, target, 20) > 0);
-  fixture.Platform.Store.takeCopy();
-  fixture.Platform.Store.put("op/evacuate/tema-a", "{}");
-  runFor(fixture, Millis(1000));
-  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  PlatformTarget &target = evacuateAfterCopy(fixture);
   loseWrites(fixture, [] {});
   runFor(fixture, Millis(2000));
   LONGS_EQUAL(0, runsAt(fixture, target, 20));
@@ -161,15 +168,7 @@
 // a second restore.
 TEST(StoreRestore, SecondRestoreEndsALostEvacuation) {
   VmFixture fixture;
-  PlatformTarget &target = fixture.Platform.addTarget("tiles", "tema-a");
-  fixture.Platform.addTarget("tiles", "tema-b");
-  fixture.addVm(2);
-  fixture.waitReady(2);
-  CHECK_TRUE(runsAt(fixture, target, 20) > 0);
-  fixture.Platform.Store.takeCopy();
-  fixture.Platform.Store.put("op/evacuate/tema-a", "{}");
-  runFor(fixture, Millis(1000));
-  LONGS_EQUAL(0, runsAt(fixture, target, 20));
+  PlatformTarget &target = evacuateAfterCopy(fixture);
   loseWrites(fixture, [] {});
   runFor(fixture, Millis(2500));
   loseWrites(fixture, [] {});
