Log fatal signals and the growth of the resident memory

A VM whose process ends by itself leaves callers without a response, and its log did not tell why: lines of the last 100 ms were still buffered, and neither a crash nor a kill for too much memory left a line. So a process that crashed, one that outgrew its VM and one that was killed from outside looked the same.

Fatal signals now write the buffered lines and process_crashed; memory_grew is logged with each 16 MB of peak memory, and resident_peak_bytes is a gauge.

Test: FatalSignalLeavesNoLine runs the daemon as a process; it fails with the daemon of before (no process_crashed line, and the lines before are missing).

--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -14,6 +14,8 @@
   PauseDetected = 1005,
   SettingsReloaded = 1006,
   LogLinesDropped = 1007,
+  ProcessCrashed = 1009,
+  MemoryGrew = 1010,
   // Requests and placement.
   LookupAnswered = 2001,
   RequestDone = 2002,
--- a/src/include/savorylb/event_log.h
+++ b/src/include/savorylb/event_log.h
@@ -35,6 +35,11 @@
 /// Writes the buffered lines that the output accepts, before the process ends.
 void closeEventLog();
 
+/// Writes the buffered lines and a process_crashed line. Only for handlers of
+/// fatal signals: it neither locks nor allocates memory.
+/// \param signal number of the signal.
+void logFatalSignal(int signal);
+
 /// Logs an event as a line of JSON: time, event number and name, VM and fields.
 /// \param fields further fields of the line; must not contain a tenant key.
 void logEvent(EventCode code, const EventFields &fields);
--- a/src/libsavoryobserve/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -38,6 +38,10 @@
     return "daemon_stopped";
   case EventCode::PauseDetected:
     return "pause_noticed";
+  case EventCode::ProcessCrashed:
+    return "process_crashed";
+  case EventCode::MemoryGrew:
+    return "memory_grew";
   case EventCode::LookupAnswered:
     return "lookup_answered";
   case EventCode::RequestDone:
--- a/src/libsavoryobserve/event_log.cpp
+++ b/src/libsavoryobserve/event_log.cpp
@@ -8,7 +8,9 @@
 #define ELPP_DISABLE_DEFAULT_CRASH_HANDLING
 #include <easylogging++.h>
 
+#include <charconv>
 #include <cstdio>
+#include <ctime>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -36,6 +38,20 @@
 
 EventStream Stream;
 
+/// Start of the line that a fatal signal writes, up to the signal's number.
+std::string FatalLineStart;
+
+/// Writes to standard output without waiting for its reader.
+void writeRaw(const char *data, std::size_t size) {
+  while (size > 0) {
+    ssize_t n = write(STDOUT_FILENO, data, size);
+    if (n <= 0)
+      return;
+    data += n;
+    size -= static_cast<std::size_t>(n);
+  }
+}
+
 void appendString(std::string &out, const std::string &text) {
   out += '"';
   for (unsigned char c : text) {
@@ -108,6 +124,13 @@
   LogOpen = true;
   Stream.Open = true;
   Stream.LinesPerSecond = linesPerSecond;
+  FatalLineStart = "{\"event\":";
+  FatalLineStart += std::to_string(static_cast<int>(EventCode::ProcessCrashed));
+  FatalLineStart += ",\"name\":\"";
+  FatalLineStart += eventName(EventCode::ProcessCrashed);
+  FatalLineStart += "\",\"vm\":";
+  appendString(FatalLineStart, vm);
+  FatalLineStart += ",\"time_ms\":";
   int flags = fcntl(STDOUT_FILENO, F_GETFL);
   if (flags >= 0)
     fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
@@ -154,6 +177,26 @@
   LOG(INFO) << line;
 }
 
+void logFatalSignal(int signal) {
+  if (!Stream.Open)
+    return;
+  writeRaw(Stream.Pending.data(), Stream.Pending.size());
+  // to_chars() and clock_gettime() may be called from signal handlers.
+  char buf[96];
+  char *end = buf + sizeof buf;
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  std::int64_t ms = std::int64_t(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000;
+  char *at = std::to_chars(buf, end, ms).ptr;
+  for (const char *it = ",\"signal\":"; *it; ++it)
+    *at++ = *it;
+  at = std::to_chars(at, end, signal).ptr;
+  *at++ = '}';
+  *at++ = '\n';
+  writeRaw(FatalLineStart.data(), FatalLineStart.size());
+  writeRaw(buf, static_cast<std::size_t>(at - buf));
+}
+
 void closeEventLog() {
   if (Stream.Open) {
     flushEventStream();
--- a/src/savorysoak/explain_walk_test.cpp
+++ b/src/savorysoak/explain_walk_test.cpp
@@ -116,3 +116,31 @@
   LONGS_EQUAL(504, fixture.call(permitRequest("p-late")).Status);
   fixture.checkCause("p-late", "was slow or silent");
 }
+
+// Guards against a crash that leaves no line in the log, and against the loss
+// of the lines before it.
+TEST(ExplainRequest, FatalSignalLeavesNoLine) {
+  ExplainFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.start();
+  CallerRequest request;
+  request.Attempt = "last-before-the-crash";
+  LONGS_EQUAL(200, fixture.call(request).Status);
+  fixture.Vm->signal(SIGSEGV);
+  MonoTime end = monoNow() + Seconds(5);
+  while (fixture.Vm->running() && monoNow() < end)
+    fixture.runFor(Millis(5));
+  CHECK_FALSE(fixture.Vm->running());
+  std::ifstream log(fixture.Log);
+  std::string line;
+  std::string last;
+  bool served = false;
+  while (std::getline(log, line)) {
+    served |=
+        line.find("\"trace\":\"last-before-the-crash\"") != std::string::npos;
+    last = line;
+  }
+  CHECK_TRUE(served);
+  CHECK_TRUE(last.find("\"name\":\"process_crashed\"") != std::string::npos);
+  CHECK_TRUE(last.find("\"signal\":11}") != std::string::npos);
+}
--- a/src/savoryvm/main.cpp
+++ b/src/savoryvm/main.cpp
@@ -1,3 +1,4 @@
+#include "process_end.h"
 #include "savorylb/event_log.h"
 #include "settings_path.h"
 #include "vm_daemon.h"
@@ -40,6 +41,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context io(1);
   savorylb::openEventStream(settings.Vm.Value, MaxLinesPerSecond);
+  savorylb::reportFatalSignals();
   savorylb::VmDaemon daemon(io, settings, file);
   if (!daemon.start()) {
     std::cerr << "cannot listen on the addresses of " << file << "\n";
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <random>
 #include <sstream>
+#include <sys/resource.h>
 
 namespace savorylb {
 namespace {
@@ -53,6 +54,8 @@
 /// of the first is known before the next.
 constexpr Duration RolloutWriteInterval = Millis(1200);
 constexpr int MetricsPort = 9464;
+/// Growth of the resident memory that is logged.
+constexpr std::int64_t LoggedGrowthKb = 16 << 10;
 
 HttpMessage rejection(int status, const char *reason) {
   return platform::localResponse(status, reason, Duration::zero());
@@ -268,7 +271,15 @@
 }
 
 void VmDaemon::tick() {
+  // Before the work, so that an exception does not end the ticks.
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      tick();
+  });
   MonoTime now = monoNow();
+  if (Stopping)
+    advanceShutdown();
   // Above 1.5 s between two ticks, a pause of the process is logged.
   if (now - TickedAt > Duration(Millis(1500)))
     logEvent(EventCode::PauseDetected, {{"gap_us", (now - TickedAt).count()}});
@@ -292,17 +303,26 @@
     ReportedAt = now;
     Link.sendReports();
     Pool.sweep();
+    recordMemory();
   }
   if (now - ReloadedAt >= ReloadInterval)
     reload();
-  if (Stopping)
-    advanceShutdown();
   flushEventStream();
-  Ticker.expires_after(TickInterval);
-  Ticker.async_wait([this](const boost::system::error_code &ec) {
-    if (!ec)
-      tick();
-  });
+}
+
+void VmDaemon::recordMemory() {
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) != 0)
+    return; // The gauge keeps its last value.
+  std::int64_t peakKb = usage.ru_maxrss;
+  setGauge("resident_peak_bytes", static_cast<double>(peakKb) * 1024);
+  if (peakKb - LoggedPeakKb < LoggedGrowthKb)
+    return;
+  LoggedPeakKb = peakKb;
+  logEvent(EventCode::MemoryGrew,
+           {{"peak_kb", peakKb},
+            {"connections", static_cast<std::int64_t>(Callers.connections())},
+            {"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
 }
 
 void VmDaemon::writeRolloutStatuses(MonoTime now) {
@@ -360,37 +380,4 @@
              {{"findings", formatFindings(findings)}});
 }
 
-void VmDaemon::beginShutdown() {
-  if (Stopping)
-    return;
-  Stopping = true;
-  State.Stop = PlannedStop{monoNow(), Settings.StopGrace};
-  State.Fleet.SelfDraining = true;
-  logEvent(EventCode::DrainStarted,
-           {{"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
-  Registration.stop();
-  Link.sendReports();
-  Callers.startDrain();
-}
-
-void VmDaemon::advanceShutdown() {
-  MonoTime now = monoNow();
-  // The settings may have changed since the signal.
-  State.Stop->Grace = Settings.StopGrace;
-  if (now >= acceptsUntil(*State.Stop))
-    Callers.stopAccepting();
-  if (now < closesIdleAt(*State.Stop))
-    return;
-  Callers.closeIdle();
-  bool graceExpired = now >= cutsOffAt(*State.Stop);
-  // Connections on which a response is being written count as well.
-  if (Callers.connections() > 0 && !graceExpired)
-    return;
-  logEvent(EventCode::DaemonStopped,
-           {{"drain_ms", (now - State.Stop->RequestedAt).count() / 1000},
-            {"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
-  closeEventLog();
-  Io.stop();
-}
-
 } // namespace savorylb
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -31,6 +31,11 @@
   /// \returns whether all addresses could be bound.
   bool start();
 
+  /// Begins a planned stop, unless one has begun: lookups name other VMs from
+  /// now on, and the event loop stops when the requests in progress have ended
+  /// or the grace period is over.
+  void beginShutdown();
+
 private:
   bool mayRunConcurrently(const HttpMessage &request) const;
   void serveCaller(const std::shared_ptr<ServedRequest> &request);
@@ -65,6 +70,7 @@
   void applyHeldDocuments(MonoTime now);
 
   void tick();
+  void recordMemory();
   void applyPendingRemovals(MonoTime now);
   void writeRolloutStatuses(MonoTime now);
   void fetchFromPeer(MonoTime now);
@@ -76,7 +82,6 @@
                      const Result<HttpMessage> &response);
   void waitForSignal();
   void reload();
-  void beginShutdown();
   void advanceShutdown();
   bool ready() const;
   std::vector<std::string> preferredWatchers() const;
@@ -107,6 +112,8 @@
   MonoTime ReportedAt{};
   MonoTime ReloadedAt{};
   MonoTime TickedAt{};
+  /// Peak of the resident memory when it was last logged.
+  std::int64_t LoggedPeakKb = 0;
   bool Stopping = false;
   bool Accepting = true;
   bool WasReady = false;
