Stop as planned after an exception left a handler

An exception that left a handler of the event loop ended the process, and with it every request in progress: one faulty document, message or allocation cost the requests of all callers of the VM. No such exception is known today; one was a hypothesis for kept connections that closed at the same moment.

The loop now logs handler_failed and goes on, and the VM begins a planned stop, since what the handler did not complete can't be relied on: requests in progress end with their responses, lookups name other VMs, and the process is started again.

--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -14,6 +14,7 @@
   PauseDetected = 1005,
   SettingsReloaded = 1006,
   LogLinesDropped = 1007,
+  HandlerFailed = 1008,
   ProcessCrashed = 1009,
   MemoryGrew = 1010,
   // Requests and placement.
--- a/src/libsavoryobserve/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -38,6 +38,8 @@
     return "daemon_stopped";
   case EventCode::PauseDetected:
     return "pause_noticed";
+  case EventCode::HandlerFailed:
+    return "handler_failed";
   case EventCode::ProcessCrashed:
     return "process_crashed";
   case EventCode::MemoryGrew:
--- a/src/savoryvm/main.cpp
+++ b/src/savoryvm/main.cpp
@@ -47,6 +47,6 @@
     std::cerr << "cannot listen on the addresses of " << file << "\n";
     return CannotListen;
   }
-  io.run();
+  savorylb::runEventLoop(io, [&daemon] { daemon.beginShutdown(); });
   return 0;
 }
--- a/src/savoryvm/process_end.cpp
+++ b/src/savoryvm/process_end.cpp
@@ -1,8 +1,10 @@
 #include "process_end.h"
 
 #include "savorylb/event_log.h"
+#include "savorylb/metrics.h"
 
 #include <csignal>
+#include <exception>
 
 namespace savorylb {
 namespace {
@@ -31,4 +33,18 @@
     sigaction(it, &action, nullptr);
 }
 
+void runEventLoop(boost::asio::io_context &io,
+                  const std::function<void()> &onException) {
+  while (true) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception &ec) {
+      logEvent(EventCode::HandlerFailed, {{"what", std::string(ec.what())}});
+    }
+    incrementCounter("handlers_failed");
+    onException();
+  }
+}
+
 } // namespace savorylb
