Ask the store before the registration enters an announced era

What callers saw: none yet; found by review. After one message with an era that the store does not have, a VM dropped its lease, accepted no other one and sent no status of a rollout. Its entry left the lookups 2.4 s later, for good.

Cause: an era that a watcher, a follower or a fetched mirror shows counted as confirmed, in the registration and in the condition for writing statuses.

Change: an announced era makes the registration renew its lease at once, before queued writes. Only the era of the store's answer replaces the lease; an answer to a call that began after the announcement also refutes it. The daemon keeps the era of the store apart from the highest announced one, so a wrong one no longer hides later eras of the store from the holds and from the mirrors.

--- a/src/savoryvm/store_restore_test.cpp
+++ b/src/savoryvm/store_restore_test.cpp
@@ -302,3 +302,24 @@
     CHECK_TRUE(namesBothVms(fixture, 2) && namesBothVms(fixture, 3));
   }
 }
+
+// Guards against a wrong era in another VM's request that keeps this VM from
+// registering and from writing statuses.
+TEST(StoreRestore, WrongEraOfAnotherVmEndsTheRegistration) {
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  fixture.Platform.addTarget("tiles", "tema-a", "v2");
+  HttpChannel other(fixture.Io.get_executor(), fixture.Platform.peerAddress(2));
+  HttpMessage request;
+  request.Method = "GET";
+  request.Path = "/news/900@7/op/";
+  other.call(request, Seconds(2), [](const Result<HttpMessage> &) {});
+  runFor(fixture, Millis(500));
+  writeOrder(fixture, "v2");
+  CHECK_FALSE(fixture.waitUntil(
+      [&] { return fixture.Platform.Store.get("status/vm/vm-2").empty(); },
+      Millis(3500)));
+  CHECK_TRUE(statusIs(fixture, "running") || statusIs(fixture, "completed"));
+}
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -51,7 +51,7 @@
   if (!response)
     return false;
   StoreEra era = platform::readStoreEra(response.value());
-  OnEra(era);
+  OnEra(era, EraSource::Store);
   return isListed(Mirror) && era > Mirror.KnownRevision.Era;
 }
 
@@ -216,7 +216,7 @@
           ? readMirrorUpdate(response.value().Body)
           : Result<MirrorUpdate>(failure(ErrorCode::Unavailable, "no update"));
   if (update)
-    OnEra(update.value().Page.StoreRevision.Era);
+    OnEra(update.value().Page.StoreRevision.Era, EraSource::OtherVm);
   bool usable =
       update && !update.value().Stale &&
       update.value().Page.StoreRevision.Era >= Mirror.KnownRevision.Era;
@@ -249,7 +249,7 @@
 void StoreSync::serveFollower(const std::shared_ptr<ServedRequest> &request,
                               StorePosition after) {
   if (after.Era > Mirror.KnownRevision.Era)
-    OnEra(after.Era);
+    OnEra(after.Era, EraSource::OtherVm);
   if (StoreFailing || hasNews(after))
     respond(request, after);
   else
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -10,6 +10,9 @@
 
 namespace savorylb {
 
+/// Where an era was seen. Only the store confirms an era.
+enum class EraSource { Store, OtherVm };
+
 /// Keeps the mirror of one prefix up to date, by watching the store or by
 /// following the mirror of another VM.
 class StoreSync {
@@ -41,8 +44,9 @@
     PreferredWatchers = std::move(watchers);
   }
 
-  /// Receives the era of each answer of the store or of a watcher.
-  using EraCallback = std::function<void(StoreEra)>;
+  /// Receives the era of each answer of the store or of a watcher, and of
+  /// requests of followers that are of a newer era than this mirror.
+  using EraCallback = std::function<void(StoreEra, EraSource)>;
   void reportEras(EraCallback report) { OnEra = std::move(report); }
 
   /// Lists the documents again, without waiting for the call in progress, if
--- a/src/savoryvm/store_sync_test.cpp
+++ b/src/savoryvm/store_sync_test.cpp
@@ -35,7 +35,8 @@
             Seen[it.Key] = it.Value;
         },
         [](bool) {});
-    Sync->reportEras([this](StoreEra era) { Era = std::max(Era, era); });
+    Sync->reportEras(
+        [this](StoreEra era, EraSource) { Era = std::max(Era, era); });
     Sync->start();
     CHECK_TRUE(waitUntil([&] { return Seen["op/a"] == "1"; }));
   }
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -164,8 +164,10 @@
                                       {"address", Settings.CallerAddress}});
   StoreAnsweredAt = monoNow();
   for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
-    it->reportEras([this](StoreEra era) { onStoreEra(era); });
-  Registration.reportEras([this](StoreEra era) { onStoreEra(era); });
+    it->reportEras(
+        [this](StoreEra era, EraSource source) { onStoreEra(era, source); });
+  Registration.reportEras(
+      [this](StoreEra era) { onStoreEra(era, EraSource::Store); });
   OperatorSync.start();
   TargetSync.start();
   SystemSync.start();
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -54,7 +54,7 @@
                       Revision revision);
   void onStoreContact(bool answered);
 
-  void onStoreEra(StoreEra era);
+  void onStoreEra(StoreEra era, EraSource source);
   void logNewEra();
   void extendHolds(MonoTime now);
   bool holdDocument(const platform::StoreItem &item);
@@ -118,8 +118,10 @@
   std::map<ServiceId, MonoTime> RolloutWrittenAt;
   /// Content of the active configuration, for other VMs.
   std::string ConfigText;
-  /// Highest era that the store or another VM has shown.
+  /// Highest era that the store has shown.
   StoreEra Era;
+  /// Highest era that another VM has shown.
+  StoreEra AnnouncedEra;
   MonoTime EraEnteredAt{};
   /// Revision of the operators' documents before a new era, until their first
   /// list in that era.
--- a/src/savoryvm/vm_peer_fetch.cpp
+++ b/src/savoryvm/vm_peer_fetch.cpp
@@ -123,7 +123,7 @@
       prefix == platform::OperatorPrefix ? OperatorSync : TargetSync;
   if (update.value().Page.StoreRevision <= sync.mirror().KnownRevision)
     return;
-  onStoreEra(update.value().Page.StoreRevision.Era);
+  onStoreEra(update.value().Page.StoreRevision.Era, EraSource::OtherVm);
   sync.adopt(update.value().Page);
   logEvent(EventCode::PeerDocumentsAdopted,
            {{"prefix", prefix},
--- a/src/savoryvm/vm_registration.cpp
+++ b/src/savoryvm/vm_registration.cpp
@@ -27,8 +27,8 @@
 
 void VmRegistration::scheduleNext(Duration pause) {
   Busy = false;
-  Timer.expires_after(
-      PendingWrites.empty() || pause == RetryPause ? pause : Duration(0));
+  bool waits = PendingWrites.empty() && !isEraUnconfirmed();
+  Timer.expires_after(waits || pause == RetryPause ? pause : Duration(0));
   Timer.async_wait([this](const boost::system::error_code &ec) {
     if (!ec)
       step();
@@ -39,12 +39,13 @@
   if (Busy)
     return;
   Busy = true;
+  AskedSinceAnnounced = true;
   if (Stopping) {
     Channel.call(platform::revokeLeaseRequest(Lease), CallTimeout,
                  [](const Result<HttpMessage> &) {
                    // The lease expires by itself if the call is lost.
                  });
-  } else if (!PendingWrites.empty()) {
+  } else if (!PendingWrites.empty() && !isEraUnconfirmed()) {
     writeNextDocument();
   } else if (Lease == 0) {
     acquireLease();
@@ -63,14 +64,17 @@
     Era = era;
     dropOutdated();
   }
+  // The store itself shows that the announcement was wrong.
+  if (AskedSinceAnnounced)
+    AnnouncedEra = std::min(AnnouncedEra, Era);
   OnEra(era);
 }
 
 void VmRegistration::enterEra(StoreEra era) {
-  if (era <= Era)
+  if (era <= Era || era <= AnnouncedEra)
     return;
-  Era = era;
-  dropOutdated();
+  AnnouncedEra = era;
+  AskedSinceAnnounced = false;
   if (!Busy && !Stopping) {
     Timer.cancel();
     step();
--- a/src/savoryvm/vm_registration.h
+++ b/src/savoryvm/vm_registration.h
@@ -34,13 +34,16 @@
   using EraCallback = std::function<void(StoreEra)>;
   void reportEras(EraCallback report) { OnEra = std::move(report); }
 
-  /// Acquires a new lease and writes the entry again if the lease is of an
-  /// older era: the store has lost it and may give its id to another VM.
+  /// Asks the store whether it is in an era that another call or another VM has
+  /// shown. If an answer confirms it, a lease of an older era is replaced and
+  /// the entry is written again: the store has lost the lease and may give its
+  /// id to another VM. Queued writes wait for the answer.
   void enterEra(StoreEra era);
 
 private:
   void step();
   void scheduleNext(Duration pause);
+  bool isEraUnconfirmed() const { return AnnouncedEra > Era; }
   void noteEra(const Result<HttpMessage> &response);
   void dropOutdated();
   void acquireLease();
@@ -55,8 +58,11 @@
   Millis LeaseTtl;
   std::int64_t Lease = 0;
   StoreEra LeaseEra;
-  /// The highest era that is known.
+  /// The highest era that an answer of the store has shown.
   StoreEra Era;
+  /// The highest era that was announced, and whether a call began after that.
+  StoreEra AnnouncedEra;
+  bool AskedSinceAnnounced = false;
   EraCallback OnEra;
   bool EntryWritten = false;
   bool Stopping = false;
--- a/src/savoryvm/vm_restore.cpp
+++ b/src/savoryvm/vm_restore.cpp
@@ -29,16 +29,17 @@
 
 } // namespace
 
-void VmDaemon::onStoreEra(StoreEra era) {
-  if (era <= Era)
+void VmDaemon::onStoreEra(StoreEra era, EraSource source) {
+  bool confirmed = source == EraSource::Store;
+  if (era <= Era || (!confirmed && era <= AnnouncedEra))
     return;
-  if (isListed(OperatorSync.mirror())) {
+  if (era != AnnouncedEra && isListed(OperatorSync.mirror())) {
     EraEnteredAt = monoNow();
     extendHolds(EraEnteredAt);
     if (!KnownBeforeEra)
       KnownBeforeEra = OperatorSync.mirror().KnownRevision;
   }
-  Era = era;
+  (confirmed ? Era : AnnouncedEra) = era;
   // Deferred, since the caller has not processed its answer yet.
   asio::post(Io, [this, era] {
     for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
--- a/src/standins/platform/simulated_platform.cpp
+++ b/src/standins/platform/simulated_platform.cpp
@@ -110,6 +110,10 @@
   return loopbackAddress(Net, n, ReadyPort);
 }
 
+std::string SimulatedPlatform::peerAddress(int n) const {
+  return loopbackAddress(Net, n, PeerPort);
+}
+
 std::string SimulatedPlatform::storeAddress() const {
   return loopbackAddress(Net, 1, StorePort);
 }
--- a/src/standins/platform/simulated_platform.h
+++ b/src/standins/platform/simulated_platform.h
@@ -48,6 +48,7 @@
   std::string callerAddress(int n) const;
   std::string lookupAddress(int n) const;
   std::string readyAddress(int n) const;
+  std::string peerAddress(int n) const;
   std::string storeAddress() const;
 
   /// \returns the number of runs of an attempt over all targets.
