Remove the VM's own entry at a stop instead of ending its lease

What operators see: after the store came back from an older copy, a VM that stops takes another VM out of the lookups. It registers again with its next renewal.

Cause: the copy lacks the latest leases and the store grants their ids again. A stopping VM ended its lease by id, and may not have heard of the new era yet.

StoppedVmStaysRegistered, UnconfirmedEntryStaysAfterAStop and StopRemovesTheEntryOfTheNextProcess pass before and after.

Change: a stop deletes the VM's own key, on condition that its revision is that of the VM's last write. If the condition fails or the revision is not known, the key is read and deleted at the revision that it shows, provided that its content is this process's. No other VM writes that key, so the deletion is right in any era.

--- a/src/savoryvm/vm_registration.cpp
+++ b/src/savoryvm/vm_registration.cpp
@@ -41,10 +41,7 @@
   Busy = true;
   AskedSinceAnnounced = true;
   if (Stopping) {
-    Channel.call(platform::revokeLeaseRequest(Lease), CallTimeout,
-                 [](const Result<HttpMessage> &) {
-                   // The lease expires by itself if the call is lost.
-                 });
+    removeEntry();
   } else if (!PendingWrites.empty() && !isEraUnconfirmed()) {
     writeNextDocument();
   } else if (Lease == 0) {
@@ -116,12 +113,16 @@
   put.Key = Key;
   put.Value = Value;
   put.Lease = Lease;
+  EntrySent = true;
+  EntryPosition = StorePosition();
   Channel.call(platform::putRequest(put), CallTimeout,
                [this, lease = Lease](const Result<HttpMessage> &response) {
                  noteEra(response);
                  if (response && Lease == lease) {
                    auto revision = platform::readPutRevision(response.value());
                    EntryWritten = revision.has_value();
+                   if (revision)
+                     EntryPosition = revision.value();
                    if (!revision &&
                        revision.error().Code == ErrorCode::NotFound)
                      Lease = 0;
@@ -130,6 +131,41 @@
                });
 }
 
+/// Removes the entry on condition that it is this process's. If a call is lost,
+/// the entry is removed when the lease expires.
+void VmRegistration::removeEntry() {
+  if (EntryPosition == StorePosition()) {
+    findEntry();
+    return;
+  }
+  Channel.call(platform::deleteRequest(Key, EntryPosition), CallTimeout,
+               [this](const Result<HttpMessage> &response) {
+                 if (!response)
+                   return;
+                 auto removed = platform::readPutRevision(response.value());
+                 if (!removed && removed.error().Code == ErrorCode::Conflict)
+                   findEntry();
+               });
+}
+
+/// Removes the entry at the revision that the store shows, if it is this
+/// process's.
+void VmRegistration::findEntry() {
+  Channel.call(platform::listRequest(Key, ""), CallTimeout,
+               [this](const Result<HttpMessage> &response) {
+                 if (!response)
+                   return;
+                 auto page = platform::readPage(response.value());
+                 if (!page)
+                   return;
+                 for (const platform::StoreItem &it : page.value().Items)
+                   if (it.Key == Key && it.Value == Value) {
+                     EntryPosition = it.ModRevision;
+                     removeEntry();
+                   }
+               });
+}
+
 void VmRegistration::renewLease() {
   Channel.call(platform::renewLeaseRequest(Lease), CallTimeout,
                [this, id = Lease](const Result<HttpMessage> &response) {
@@ -190,7 +226,7 @@
 void VmRegistration::stop() {
   Stopping = true;
   Timer.cancel();
-  if (Lease == 0)
+  if (!EntrySent)
     return;
   Channel.close();
   Busy = false;
--- a/src/savoryvm/vm_registration.h
+++ b/src/savoryvm/vm_registration.h
@@ -22,7 +22,9 @@
   /// Starts to acquire the lease and to write the entry.
   void start() { step(); }
 
-  /// Revokes the lease, which removes the entry, and stops.
+  /// Removes the entry and stops. The lease expires by itself: the store may
+  /// have come back from an older copy and have granted its id to another VM,
+  /// which this VM may not know yet.
   void stop();
 
   /// Queues a write, which replaces a queued write to the same key. It is sent
@@ -48,6 +50,8 @@
   void dropOutdated();
   void acquireLease();
   void putEntry();
+  void removeEntry();
+  void findEntry();
   void renewLease();
   void writeNextDocument();
 
@@ -65,6 +69,10 @@
   bool AskedSinceAnnounced = false;
   EraCallback OnEra;
   bool EntryWritten = false;
+  /// A write of the entry was sent.
+  bool EntrySent = false;
+  /// Position of the entry's last write; 0 if it is not known.
+  StorePosition EntryPosition;
   bool Stopping = false;
   bool Busy = false;
   std::deque<platform::StorePut> PendingWrites;
--- a/src/savoryvm/vm_registration_test.cpp
+++ b/src/savoryvm/vm_registration_test.cpp
@@ -117,3 +117,70 @@
   fixture.runFor(AtOnce);
   STRCMP_EQUAL("", fixture.Store.get(put.Key).c_str());
 }
+
+// Guards against ending a lease that a restored store has given to another VM.
+TEST(VmRegistration, StopEndsTheLeaseOfAnotherVm) {
+  RegistrationFixture fixture;
+  fixture.Store.takeCopy();
+  fixture.registerVm();
+  fixture.Store.restoreCopy();
+  fixture.registerOther("status/vm/b");
+  fixture.Vm->stop();
+  fixture.runFor(AtOnce);
+  STRCMP_EQUAL("b", fixture.Store.get("status/vm/b").c_str());
+}
+
+// Guards against an entry that stays until the lease expires.
+TEST(VmRegistration, StoppedVmStaysRegistered) {
+  RegistrationFixture fixture;
+  fixture.registerVm();
+  fixture.Vm->stop();
+  CHECK_TRUE(fixture.waitUntil([&] { return !fixture.registered(); }, AtOnce));
+}
+
+// Guards against an entry that stays because the response to its write was
+// lost.
+TEST(VmRegistration, UnconfirmedEntryStaysAfterAStop) {
+  RegistrationFixture fixture;
+  StoreFaults faults;
+  faults.Delay = Millis(100);
+  fixture.Store.setFaults(faults);
+  fixture.Vm->start();
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Store.calls() == 2; }));
+  faults.DropResponses = true;
+  fixture.Store.setFaults(faults);
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.registered(); }));
+  fixture.Store.setFaults(StoreFaults());
+  fixture.Vm->stop();
+  CHECK_TRUE(fixture.waitUntil([&] { return !fixture.registered(); }, AtOnce));
+}
+
+// Guards against an entry that stays because a restored store shows an earlier
+// write of it.
+TEST(VmRegistration, EarlierEntryOfTheCopyStaysAfterAStop) {
+  RegistrationFixture fixture;
+  fixture.registerVm();
+  fixture.Store.takeCopy();
+  StoreFaults faults;
+  faults.Busy = true;
+  faults.ExpireLeases = true;
+  fixture.Store.setFaults(faults);
+  CHECK_TRUE(fixture.waitUntil([&] { return !fixture.registered(); }));
+  fixture.Store.setFaults(StoreFaults());
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.registered(); }));
+  fixture.runFor(Millis(50));
+  fixture.Store.restoreCopy();
+  CHECK_TRUE(fixture.registered());
+  fixture.Vm->stop();
+  CHECK_TRUE(fixture.waitUntil([&] { return !fixture.registered(); }, AtOnce));
+}
+
+// Guards against removing the entry of the process that replaces this one.
+TEST(VmRegistration, StopRemovesTheEntryOfTheNextProcess) {
+  RegistrationFixture fixture;
+  fixture.registerVm();
+  fixture.Store.put(fixture.Key, "next");
+  fixture.Vm->stop();
+  fixture.runFor(AtOnce);
+  STRCMP_EQUAL("next", fixture.Store.get(fixture.Key).c_str());
+}
