--- a/src/savoryvm/vm_registration.h
+++ b/src/savoryvm/vm_registration.h
@@ -22,7 +22,9 @@
   /// Starts to acquire the lease and to write the entry.
   void start() { step(); }
 
-  /// Revokes the lease, which removes the entry, and stops.
+  /// Removes the entry and stops. The lease expires by itself: the store may
+  /// have come back from an older copy and have granted its id to another VM,
+  /// which this VM may not know yet.
   void stop();
 
   /// Queues a write, which replaces a queued write to the same key. It is sent
@@ -34,17 +36,22 @@
   using EraCallback = std::function<void(StoreEra)>;
   void reportEras(EraCallback report) { OnEra = std::move(report); }
 
-  /// Acquires a new lease and writes the entry again if the lease is of an
-  /// older era: the store has lost it and may give its id to another VM.
+  /// Asks the store whether it is in an era that another call or another VM has
+  /// shown. If an answer confirms it, a lease of an older era is replaced and
+  /// the entry is written again: the store has lost the lease and may give its
+  /// id to another VM. Queued writes wait for the answer.
   void enterEra(StoreEra era);
 
 private:
   void step();
   void scheduleNext(Duration pause);
+  bool isEraUnconfirmed() const { return AnnouncedEra > Era; }
   void noteEra(const Result<HttpMessage> &response);
   void dropOutdated();
   void acquireLease();
   void putEntry();
+  void removeEntry();
+  void findEntry();
   void renewLease();
   void writeNextDocument();
 
@@ -55,10 +62,17 @@
   Millis LeaseTtl;
   std::int64_t Lease = 0;
   StoreEra LeaseEra;
-  /// The highest era that is known.
+  /// The highest era that an answer of the store has shown.
   StoreEra Era;
+  /// The highest era that was announced, and whether a call began after that.
+  StoreEra AnnouncedEra;
+  bool AskedSinceAnnounced = false;
   EraCallback OnEra;
   bool EntryWritten = false;
+  /// A write of the entry was sent.
+  bool EntrySent = false;
+  /// Position of the entry's last write; 0 if it is not known.
+  StorePosition EntryPosition;
   bool Stopping = false;
   bool Busy = false;
   std::deque<platform::StorePut> PendingWrites;
