Report daemons of the soak that end by themselves

A daemon that ended without a signal of the soak was found only when a later fault happened to start it, and its exit status and standard error were lost. An error at the end of a planned stop was not seen at all.

The soak checks all processes every 20 ms, takes a wrong way to end as a violation that names the status or the signal, starts the process again, and keeps standard error beside the log. An end by SIGKILL is accepted only after a kill of the soak, and exit status 0 only after SIGTERM.

--- a/src/savorysoak/soak_fleet.cpp
+++ b/src/savorysoak/soak_fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <sys/wait.h>
 
 namespace savorylb::soak {
 namespace {
@@ -14,6 +15,8 @@
 /// tolerance of its grace period.
 constexpr Duration ExitCheckInterval = Millis(50);
 constexpr Duration ExitTolerance = Millis(300);
+/// Interval of the check for processes that ended by themselves.
+constexpr Duration EndCheckInterval = Millis(20);
 
 std::string address(int net, int host, int port) {
   return "127.0." + std::to_string(net) + "." + std::to_string(host) + ":" +
@@ -36,6 +39,38 @@
       it.To = monoNow();
 }
 
+/// \returns whether a process ended as the signals sent to it require: by
+/// SIGKILL, or without an error after SIGTERM.
+bool isPlannedEnd(const SoakVm &vm, int status) {
+  if (WIFSIGNALED(status))
+    return WTERMSIG(status) == SIGKILL && hasOpen(vm, DisruptionKind::Killed);
+  return WEXITSTATUS(status) == 0 && hasOpen(vm, DisruptionKind::Terminated);
+}
+
+/// Adds a violation if the process ended in another way than planned.
+void checkEnd(SoakFleet &fleet, SoakVm &vm) {
+  if (vm.Process->running())
+    return;
+  std::optional<int> status = vm.Process->takeStatus();
+  if (!status || isPlannedEnd(vm, *status))
+    return;
+  std::string how = WIFSIGNALED(*status)
+                        ? "signal " + std::to_string(WTERMSIG(*status))
+                        : "status " + std::to_string(WEXITSTATUS(*status));
+  addViolation(fleet, vmName(vm) + ": ended by itself with " + how);
+}
+
+/// Starts processes again that ended without a signal of the soak.
+void checkEnds(SoakFleet &fleet) {
+  for (SoakVm &it : fleet.Vms) {
+    checkEnd(fleet, it);
+    if (!hasOpen(it, DisruptionKind::Killed) &&
+        !hasOpen(it, DisruptionKind::Terminated))
+      startVm(fleet, it);
+  }
+  runAfter(fleet, EndCheckInterval, [&fleet] { checkEnds(fleet); });
+}
+
 void restartAfterExit(SoakFleet &fleet, SoakVm &vm, MonoTime stoppedAt) {
   // Another fault may have started a new process already.
   if (!hasOpen(vm, DisruptionKind::Terminated))
@@ -106,15 +141,14 @@
                                              base + ".log");
     bound = bound && vm.Process->start();
   }
+  checkEnds(fleet);
   return bound;
 }
 
 void startVm(SoakFleet &fleet, SoakVm &vm) {
   if (vm.Process->running())
     return;
-  if (!hasOpen(vm, DisruptionKind::Killed) &&
-      !hasOpen(vm, DisruptionKind::Terminated))
-    addViolation(fleet, vmName(vm) + ": ended without a signal");
+  checkEnd(fleet, vm);
   vm.Process->start();
   for (DisruptionKind it : {DisruptionKind::Killed, DisruptionKind::Paused,
                             DisruptionKind::Terminated})
--- a/src/savorysoak/soak_fleet.h
+++ b/src/savorysoak/soak_fleet.h
@@ -94,7 +94,7 @@
 void addViolation(SoakFleet &fleet, const std::string &what);
 
 /// Starts the daemon unless it is running; a violation if the previous process
-/// ended without a signal.
+/// ended by itself.
 void startVm(SoakFleet &fleet, SoakVm &vm);
 void killVm(SoakFleet &fleet, SoakVm &vm);
 /// Sends SIGTERM and starts a new process after the end of this one; a
--- a/src/savorysoak/vm_process.cpp
+++ b/src/savorysoak/vm_process.cpp
@@ -5,6 +5,7 @@
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace savorylb::soak {
 
@@ -26,6 +27,9 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  std::string errors = Log + ".err";
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
   std::string option = "--settings";
   char *args[] = {Program.data(), option.data(), Settings.data(), nullptr};
   int failed =
@@ -44,10 +48,18 @@
 bool VmProcess::running() {
   if (Pid == 0)
     return false;
-  if (waitpid(Pid, nullptr, WNOHANG) == 0)
+  int status = 0;
+  pid_t ended = waitpid(Pid, &status, WNOHANG);
+  if (ended == 0)
     return true;
+  if (ended == Pid)
+    Status = status;
   Pid = 0;
   return false;
 }
 
+std::optional<int> VmProcess::takeStatus() {
+  return std::exchange(Status, std::nullopt);
+}
+
 } // namespace savorylb::soak
--- a/src/savorysoak/vm_process.h
+++ b/src/savorysoak/vm_process.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_VM_PROCESS_H
 #define SAVORYLB_VM_PROCESS_H
 
+#include <optional>
 #include <string>
 #include <sys/types.h>
 
@@ -11,7 +12,8 @@
 public:
   /// \param program path of the daemon.
   /// \param settings path of its settings file.
-  /// \param log file to which its standard output is appended.
+  /// \param log file to which its standard output is appended; its standard
+  ///        error is appended to a file of this name with `.err`.
   VmProcess(std::string program, std::string settings, std::string log);
   ~VmProcess();
   VmProcess(const VmProcess &) = delete;
@@ -23,12 +25,16 @@
   void signal(int number);
   /// \returns whether the process is running; reaps it if it has exited.
   bool running();
+  /// \returns how the last process ended, in the form of waitpid(); nothing
+  ///          before its end is known and after the status was taken.
+  std::optional<int> takeStatus();
 
 private:
   std::string Program;
   std::string Settings;
   std::string Log;
   pid_t Pid = 0;
+  std::optional<int> Status;
 };
 
 } // namespace savorylb::soak
