List again soon when an era is announced during a list

What callers see: after the store came back from an older copy, a VM can learn what was written meanwhile, such as a configuration, only after its next watch, 2.5 s later.

Cause: an era that is announced while a list is in progress does not restart it. If the answer of the list is still of the older era, the next list is due 400 ms after the start of the last one, but the mirror went on to a watch. A watch that the restored store takes from a revision that it has already passed waits for its full time.

Change: a mirror that is behind an announced era, and has no watcher to follow, waits for the next list instead of watching. An announcement is refuted by the first list that begins after it, so this ends with that list.

--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -160,6 +160,9 @@
     followWatcher(address);
   else if (NeedsList)
     list("");
+  else if (isBehindEra())
+    // The next list is due soon; a watch could wait much longer.
+    schedule(EraListedAt + EraListInterval - monoNow(), [this] { watch(); });
   else
     watchStore();
 }
--- a/src/savoryvm/store_sync_test.cpp
+++ b/src/savoryvm/store_sync_test.cpp
@@ -14,6 +14,9 @@
 /// The time within which a configuration must be in force.
 constexpr Duration ConfigApply = Millis(2500);
 
+/// Lists are 0.4 s apart while the mirror is of an older era than announced.
+constexpr Duration ListDue = Millis(1000);
+
 int NextHost = 1;
 
 /// One mirror of a simulated store.
@@ -23,6 +26,8 @@
   std::string Address = "127.0.201." + std::to_string(NextHost++) + ":8601";
   std::map<std::string, std::string> Seen;
   StoreEra Era;
+  /// Called for each document that the mirror takes.
+  std::function<void()> OnSeen = [] {};
   std::unique_ptr<StoreSync> Sync;
 
   SyncFixture() {
@@ -31,8 +36,10 @@
     Sync = std::make_unique<StoreSync>(
         Io, Address, "op/", Millis(2500), Millis(150),
         [this](const auto &changes) {
-          for (const platform::StoreItem &it : changes)
+          for (const platform::StoreItem &it : changes) {
             Seen[it.Key] = it.Value;
+            OnSeen();
+          }
         },
         [](bool) {});
     Sync->reportEras(
@@ -105,6 +112,38 @@
   LONGS_EQUAL(2, fixture.Sync->mirror().KnownRevision.Era.Value);
 }
 
+// Guards against an era that is announced during a list, whose answer is of the
+// older era, and is then learned only when the next watch has waited.
+TEST(StoreSync, EraAnnouncedDuringAListIsForgotten) {
+  SyncFixture fixture;
+  fixture.Store.takeCopy();
+  fixture.leaveWatchUnanswered();
+  // Nothing announces the document, so only a list shows it.
+  fixture.Store.put("op/late", "1");
+  StoreFaults faults;
+  faults.Delay = Millis(200);
+  fixture.Store.setFaults(faults);
+  bool restored = false;
+  fixture.OnSeen = [&] {
+    if (restored || fixture.Seen["op/late"].empty())
+      return;
+    // The answer of the older era has arrived; no watch waits yet.
+    restored = true;
+    fixture.Store.setFaults(StoreFaults());
+    fixture.Store.restoreCopy();
+    fixture.Store.restoreCopy();
+    fixture.Store.put("op/c", "3");
+    for (int i = 0; i < 20; ++i)
+      fixture.Store.put("servers/a", std::to_string(i));
+  };
+  fixture.Sync->enterEra(StoreEra(2));
+  fixture.runFor(Millis(100));
+  fixture.Sync->enterEra(StoreEra(3));
+  CHECK_TRUE(fixture.waitUntil([&] { return restored; }, Millis(500)));
+  CHECK_TRUE(
+      fixture.waitUntil([&] { return fixture.Seen["op/c"] == "3"; }, ListDue));
+}
+
 // Guards against lists without end when an announced era is wrong.
 TEST(StoreSync, WrongEraKeepsTheMirrorListing) {
   SyncFixture fixture;
