Run a new order at once when its revision was never the key's

What operators see: after the store came back from an older copy, an order that was written before a VM listed the new era, with a lower revision than the order from before, was run 4 s late.

Cause: such an order was always held as one of the copy. Only the number was compared, and an order of the copy has a lower number as well.

Evidence, on the code before: StoreRestore NewOrderWithLowerRevisionIsDelayed the status of the new order was not written within 2.5 s It passes now. OrderOfTheCopyIsRun passes before and after. OrderBetweenKnownChangesIsNew and KnownChangesCountForTheNextEraOnly test the rule by itself.

Change: revisions up to the copy's name the same writes in both eras. A VM keeps, for each service, the span over which it knows that the order's key did not change: from the change before the present order to the last revision that it had followed before it saw that order. An order of the next era at a revision within this span was written in the new era. Others are held as before: a revision between the end of the span and the order may belong to a write that the VM has missed, since mirrors show only the latest one.

--- a/src/libsavorysteer/rollout_restore_test.cpp
+++ b/src/libsavorysteer/rollout_restore_test.cpp
@@ -74,6 +74,38 @@
   CHECK_FALSE(isOutdatedOrder(state, order(V3, at(25, 1))));
 }
 
+// Guards against taking an order of the new era for one of the copy because of
+// its lower revision, and the other way round.
+TEST(RolloutRestore, OrderBetweenKnownChangesIsNew) {
+  SteeringState state;
+  noteOrderChange(state, Tiles, at(20), {at(10), at(15)});
+  applyRolloutOrder(state, order(V2, at(20)), Start);
+  // The key did not change after 10 and up to 15.
+  for (int revision : {1, 10, 16, 19})
+    CHECK_TRUE(isOutdatedOrder(state, order(V3, at(revision, 1))));
+  for (int revision : {11, 15, 21})
+    CHECK_FALSE(isOutdatedOrder(state, order(V3, at(revision, 1))));
+  // An era in between may have had the order, too.
+  CHECK_TRUE(isOutdatedOrder(state, order(V3, at(12, 2))));
+  // The next change leaves out the revision of the previous order.
+  noteOrderChange(state, Tiles, at(40), {at(10), at(35)});
+  applyRolloutOrder(state, order(V3, at(40)), Start);
+  for (int revision : {12, 20, 36})
+    CHECK_TRUE(isOutdatedOrder(state, order(V2, at(revision, 1))));
+  for (int revision : {21, 35})
+    CHECK_FALSE(isOutdatedOrder(state, order(V2, at(revision, 1))));
+}
+
+// Guards against judging by what was followed in an older era.
+TEST(RolloutRestore, KnownChangesCountForTheNextEraOnly) {
+  SteeringState state;
+  noteOrderChange(state, Tiles, at(20), {at(10), at(15)});
+  applyRolloutOrder(state, order(V2, at(20)), Start);
+  noteOrderChange(state, Tiles, at(18, 1), {at(10), at(25)});
+  applyRolloutOrder(state, order(V2, at(18, 1)), Start);
+  CHECK_TRUE(isOutdatedOrder(state, order(V3, at(12, 2))));
+}
+
 // Guards against a completed rollout that is undone by a status of the copy,
 // in either order of the documents' arrival.
 TEST(RolloutRestore, StatusOfTheCopyDoesNotGoBack) {
--- a/src/libsavorysteer/steering_documents.cpp
+++ b/src/libsavorysteer/steering_documents.cpp
@@ -46,6 +46,18 @@
          status.StatusRevision.Number < known.StatusRevision.Number;
 }
 
+/// \returns whether the known changes of the order's key show that the store
+/// had
+///          no change at that revision before it came back from a copy. Over
+///          several eras this cannot be known.
+bool isWrittenInNewEra(const ServiceState &service, StorePosition at) {
+  const StoreSpan &span = service.OrderUnchanged;
+  StoreEra era = service.Order->OrderRevision.Era;
+  return span.From.Era == era && span.To.Era == era &&
+         at.Era.Value == era.Value + 1 && span.From.Number < at.Number &&
+         at.Number <= span.To.Number;
+}
+
 } // namespace
 
 bool applyConfig(SteeringState &state, SteerConfig config) {
@@ -108,13 +120,22 @@
   return true;
 }
 
+void noteOrderChange(SteeringState &state, const ServiceId &service,
+                     StorePosition at, const StoreSpan &followed) {
+  ServiceState &known = state.Services[service];
+  known.OrderUnchanged = {std::max(known.OrderChangedAt, followed.From),
+                          followed.To};
+  known.OrderChangedAt = at;
+}
+
 bool isOutdatedOrder(const SteeringState &state, const RolloutOrder &order) {
   auto it = state.Services.find(order.Service);
   if (it == state.Services.end() || !it->second.Order)
     return false;
   const RolloutOrder &known = *it->second.Order;
   return !sameOrder(known, order) &&
-         order.OrderRevision.Number < known.OrderRevision.Number;
+         order.OrderRevision.Number < known.OrderRevision.Number &&
+         !isWrittenInNewEra(it->second, order.OrderRevision);
 }
 
 void eraseRolloutOrder(SteeringState &state, const ServiceId &service) {
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -30,6 +30,12 @@
   double MaxBadShare = DefaultMaxBadShare;
 };
 
+/// The positions after From up to To.
+struct StoreSpan {
+  StorePosition From;
+  StorePosition To;
+};
+
 /// This VM's state for one service.
 struct ServiceState {
   RetryWindow Retries;
@@ -37,6 +43,11 @@
   /// known.
   VersionId DefaultVersion;
   std::optional<RolloutOrder> Order;
+  /// Position of the last known change of the order's key.
+  StorePosition OrderChangedAt;
+  /// Positions between which this VM knows that the key did not change: from
+  /// the last change before that of OrderChangedAt. Empty if the eras differ.
+  StoreSpan OrderUnchanged;
   /// Time of the order, as far as known to this VM.
   MonoTime OrderedAt{};
   /// When the order was first seen in a newer era of the store.
@@ -205,8 +216,16 @@
 /// \returns whether it is a new order.
 bool applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
                        MonoTime now);
-/// \returns whether an order is older than the known one. Revisions up to the
-///          store's copy name the same writes in both eras.
+/// Records a change of the key of a service's order; called before the change
+/// is applied. \param followed positions over which this VM has followed all
+/// changes of
+///        operators' documents, up to the one before this change was seen.
+void noteOrderChange(SteeringState &state, const ServiceId &service,
+                     StorePosition at, const StoreSpan &followed);
+/// \returns whether an order may be older than the known one. Revisions up to
+///          the store's copy name the same writes in both eras, so an order at
+///          a revision at which the key was not written in the older era was
+///          written in the new one.
 /// \param order an order that the store shows after it came back from an older
 ///        copy.
 bool isOutdatedOrder(const SteeringState &state, const RolloutOrder &order);
--- a/src/savoryvm/store_restore_test.cpp
+++ b/src/savoryvm/store_restore_test.cpp
@@ -323,3 +323,51 @@
       Millis(3500)));
   CHECK_TRUE(statusIs(fixture, "running") || statusIs(fixture, "completed"));
 }
+
+// Guards against delaying an order of the new era whose revision is below that
+// of the order before the restore.
+TEST(StoreRestore, NewOrderWithLowerRevisionIsDelayed) {
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  fixture.Platform.addTarget("tiles", "tema-a", "v2");
+  fixture.Platform.addTarget("tiles", "tema-a", "v3");
+  runFor(fixture, Millis(1000));
+  fixture.Platform.Store.takeCopy();
+  writeOthers(fixture, 20);
+  runFor(fixture, Millis(500));
+  writeOrder(fixture, "v2");
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "v2"); }));
+  loseWrites(fixture, [&] { writeOrder(fixture, "v3"); });
+  CHECK_TRUE(
+      fixture.waitUntil([&] { return statusIs(fixture, "v3"); }, Millis(2500)));
+}
+
+// Guards against running an order that the copy shows and that was replaced in
+// the lost seconds.
+TEST(StoreRestore, OrderOfTheCopyIsRun) {
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  fixture.Platform.addTarget("tiles", "tema-a", "v2");
+  fixture.Platform.addTarget("tiles", "tema-a", "v3");
+  runFor(fixture, Millis(1000));
+  writeOrder(fixture, "v2");
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "v2"); }));
+  fixture.Platform.Store.takeCopy();
+  writeOthers(fixture, 20);
+  runFor(fixture, Millis(500));
+  writeOrder(fixture, "v3");
+  MonoTime orderedAt = monoNow();
+  CHECK_TRUE(fixture.waitUntil([&] { return statusIs(fixture, "v3"); }));
+  loseWrites(fixture, [] {});
+  runFor(fixture, Millis(1000));
+  writeOrder(fixture, "v3");
+  CHECK_TRUE(fixture.waitUntil([&] {
+    return statusIs(fixture, "v3") && statusIs(fixture, "completed");
+  }));
+  // A rollout whose clock starts again would take 2.6 s from here.
+  CHECK_TRUE(monoNow() - orderedAt < Millis(4200));
+}
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -116,6 +116,9 @@
   /// time by which its entry must reappear.
   std::map<TargetId, MonoTime> PendingRemovals;
   std::map<ServiceId, MonoTime> RolloutWrittenAt;
+  /// Positions over which all changes of operators' documents were followed, in
+  /// one era.
+  StoreSpan OperatorsFollowed;
   /// Content of the active configuration, for other VMs.
   std::string ConfigText;
   /// Highest era that the store has shown.
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -22,6 +22,11 @@
   for (const platform::StoreItem &it : changes)
     if (!holdDocument(it))
       onOperatorChange(it);
+  const StorePosition &known = OperatorSync.mirror().KnownRevision;
+  if (OperatorsFollowed.To.Era != known.Era ||
+      OperatorsFollowed.To == StorePosition())
+    OperatorsFollowed.From = known;
+  OperatorsFollowed.To = known;
 }
 
 void VmDaemon::onOperatorChange(const platform::StoreItem &item) {
@@ -72,6 +77,7 @@
 void VmDaemon::onRolloutOrder(const platform::StoreItem &item,
                               const ServiceId &service) {
   MonoTime now = monoNow();
+  noteOrderChange(State, service, item.ModRevision, OperatorsFollowed);
   if (item.Removed) {
     eraseRolloutOrder(State, service);
     return;
