Keep the VM daemon running when its settings cannot be read

The daemon reads its settings file again every 2 s and at SIGHUP. If the read failed, for instance because the path had become a folder, the whole process ended: all connections of callers and targets closed at once, without daemon_stopped in the log.

Cause: std::istreambuf_iterator passes on the std::ios_base::failure that the file buffer throws when read() fails, and nothing catches it in io.run().

operator<< of a stream buffer turns the exception into a state of the stream; a file that cannot be read is treated as an empty one, which changes nothing.

--- a/src/savorysoak/vm_process_test.cpp
+++ b/src/savorysoak/vm_process_test.cpp
@@ -109,3 +109,14 @@
   std::optional<int> status = vm.Process.takeStatus();
   CHECK_TRUE(status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0);
 }
+
+// Guards against settings that cannot be read ending the process.
+TEST(VmProcess, UnreadableSettingsEndProcess) {
+  StartingVm vm;
+  vm.provideSettings();
+  CHECK_FALSE(vm.ended(SignalTime));
+  std::filesystem::remove(vm.Settings);
+  std::filesystem::create_directory(vm.Settings);
+  vm.Process.signal(SIGHUP);
+  CHECK_FALSE(vm.ended(SignalTime));
+}
--- a/src/savoryvm/main.cpp
+++ b/src/savoryvm/main.cpp
@@ -4,9 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 namespace {
 
@@ -36,12 +34,9 @@
   app.add_option("--settings", file, "settings file, JSON with comments");
   app.add_flag("--check-config", check, "check the settings and exit");
   CLI11_PARSE(app, argc, argv);
-  std::ifstream in(file);
-  std::string text((std::istreambuf_iterator<char>(in)),
-                   std::istreambuf_iterator<char>());
   savorylb::Findings findings;
-  savorylb::VmSettings settings =
-      savorylb::readVmSettings(file, text, findings);
+  savorylb::VmSettings settings = savorylb::readVmSettings(
+      file, savorylb::readSettingsFile(file), findings);
   if (!findings.empty()) {
     std::cerr << savorylb::formatFindings(findings);
     return BadSettings;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -8,7 +8,6 @@
 #include "savorylb/event_log.h"
 #include "savorylb/metrics.h"
 
-#include <fstream>
 #include <random>
 #include <sstream>
 
@@ -339,9 +338,7 @@
 
 void VmDaemon::reload() {
   ReloadedAt = monoNow();
-  std::ifstream in(SettingsFile);
-  std::string text((std::istreambuf_iterator<char>(in)),
-                   std::istreambuf_iterator<char>());
+  std::string text = readSettingsFile(SettingsFile);
   if (text.empty() || text == SettingsText)
     return;
   bool first = SettingsText.empty();
--- a/src/savoryvm/vm_settings.cpp
+++ b/src/savoryvm/vm_settings.cpp
@@ -4,9 +4,11 @@
 #include "json_read.h"
 
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <json/json.h>
 #include <set>
+#include <sstream>
 
 namespace savorylb {
 namespace {
@@ -80,6 +82,15 @@
 
 } // namespace
 
+std::string readSettingsFile(const std::string &file) {
+  std::ifstream in(file);
+  std::ostringstream out;
+  // Unlike an iterator of the buffer, the operator throws nothing when reading
+  // fails, as it does for a folder.
+  out << in.rdbuf();
+  return in && out ? out.str() : "";
+}
+
 VmSettings readVmSettings(const std::string &file, const std::string &text,
                           Findings &findings) {
   VmSettings settings;
--- a/src/savoryvm/vm_settings.h
+++ b/src/savoryvm/vm_settings.h
@@ -44,6 +44,10 @@
   double MaxBadShare = 0.1;
 };
 
+/// Reads a settings file.
+/// \returns its content; empty if it cannot be read.
+std::string readSettingsFile(const std::string &file);
+
 /// Parses the settings and reports all errors at once.
 /// \param file name of the file, for the findings.
 /// \param text content of the file.
