Report settings that are nested too deeply instead of ending the VM daemon

A settings file nested deeper than jsoncpp's limit of 1000 levels ended the running daemon within 2 s, or at SIGHUP.

Cause: Json::CharReader::parse() throws a Json::RuntimeError at that limit, and nothing catches it in io.run(); platform::parseObject() handles it for documents, but the settings have a reader of their own.

The exception becomes a finding, as for other text that is not a JSON object. DeeplyNestedSettingsEndProcess failed before and passes now.

--- a/src/savorysoak/vm_process_test.cpp
+++ b/src/savorysoak/vm_process_test.cpp
@@ -120,3 +120,14 @@
   vm.Process.signal(SIGHUP);
   CHECK_FALSE(vm.ended(SignalTime));
 }
+
+// Guards against settings nested deeper than the parser allows ending the
+// process.
+TEST(VmProcess, DeeplyNestedSettingsEndProcess) {
+  StartingVm vm;
+  vm.provideSettings();
+  CHECK_FALSE(vm.ended(SignalTime));
+  std::ofstream(vm.Settings) << "{\"vm\":" << std::string(2000, '[');
+  vm.Process.signal(SIGHUP);
+  CHECK_FALSE(vm.ended(SignalTime));
+}
--- a/src/savoryvm/vm_settings.cpp
+++ b/src/savoryvm/vm_settings.cpp
@@ -99,8 +99,14 @@
   std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value root;
   std::string error;
-  if (!reader->parse(text.data(), text.data() + text.size(), &root, &error) ||
-      !root.isObject()) {
+  bool parsed = false;
+  try {
+    parsed =
+        reader->parse(text.data(), text.data() + text.size(), &root, &error);
+  } catch (const Json::Exception &it) {
+    error = it.what(); // Nested too deeply.
+  }
+  if (!parsed || !root.isObject()) {
     findings.push_back({file, 1, "", "not a JSON object: " + error});
     return settings;
   }
