--- a/src/savoryvm/main.cpp
+++ b/src/savoryvm/main.cpp
@@ -5,9 +5,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 namespace {
 
@@ -17,21 +15,29 @@
 /// times the usual load of a VM.
 constexpr int MaxLinesPerSecond = 200;
 
+/// Blocks or unblocks the signals that the daemon handles.
+void maskSignals(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (int it : {SIGTERM, SIGHUP, SIGINT})
+    sigaddset(&signals, it);
+  sigprocmask(how, &signals, nullptr);
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
+  // Signals that arrive before the daemon handles them stay pending.
+  maskSignals(SIG_BLOCK);
   CLI::App app("savorylb's daemon for VMs of a hosting platform");
   std::string file = savorylb::platform::settingsPath();
   bool check = false;
   app.add_option("--settings", file, "settings file, JSON with comments");
   app.add_flag("--check-config", check, "check the settings and exit");
   CLI11_PARSE(app, argc, argv);
-  std::ifstream in(file);
-  std::string text((std::istreambuf_iterator<char>(in)),
-                   std::istreambuf_iterator<char>());
   savorylb::Findings findings;
-  savorylb::VmSettings settings =
-      savorylb::readVmSettings(file, text, findings);
+  savorylb::VmSettings settings = savorylb::readVmSettings(
+      file, savorylb::readSettingsFile(file), findings);
   if (!findings.empty()) {
     std::cerr << savorylb::formatFindings(findings);
     return BadSettings;
@@ -47,6 +53,7 @@
     std::cerr << "cannot listen on the addresses of " << file << "\n";
     return CannotListen;
   }
+  maskSignals(SIG_UNBLOCK);
   savorylb::runEventLoop(io, [&daemon] { daemon.beginShutdown(); });
   return 0;
 }
--- a/src/savoryvm/vm_settings.cpp
+++ b/src/savoryvm/vm_settings.cpp
@@ -4,9 +4,11 @@
 #include "json_read.h"
 
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <json/json.h>
 #include <set>
+#include <sstream>
 
 namespace savorylb {
 namespace {
@@ -80,6 +82,15 @@
 
 } // namespace
 
+std::string readSettingsFile(const std::string &file) {
+  std::ifstream in(file);
+  std::ostringstream out;
+  // Unlike an iterator of the buffer, the operator throws nothing when reading
+  // fails, as it does for a folder.
+  out << in.rdbuf();
+  return in && out ? out.str() : "";
+}
+
 VmSettings readVmSettings(const std::string &file, const std::string &text,
                           Findings &findings) {
   VmSettings settings;
@@ -88,8 +99,14 @@
   std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value root;
   std::string error;
-  if (!reader->parse(text.data(), text.data() + text.size(), &root, &error) ||
-      !root.isObject()) {
+  bool parsed = false;
+  try {
+    parsed =
+        reader->parse(text.data(), text.data() + text.size(), &root, &error);
+  } catch (const Json::Exception &it) {
+    error = it.what(); // Nested too deeply.
+  }
+  if (!parsed || !root.isObject()) {
     findings.push_back({file, 1, "", "not a JSON object: " + error});
     return settings;
   }
