Keep the VM daemon running when its log reaches a size limit

Where the size of files is limited (RLIMIT_FSIZE) and standard output is a file, the daemon ended by SIGXFSZ as soon as its log reached the limit.

SIGXFSZ is ignored as SIGPIPE is. The write fails instead, which the log treats as blocked output: lines wait in its bounded buffer and are dropped when that is full.

--- a/src/savorysoak/vm_process_test.cpp
+++ b/src/savorysoak/vm_process_test.cpp
@@ -5,10 +5,12 @@
 
 #include "savorylb/clock.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -31,6 +33,22 @@
 const char *const StopGrace = "1000ms";
 constexpr Duration MaxStopTime = Seconds(3);
 
+/// Largest log of a process, less than its first lines.
+constexpr rlim_t LogLimitBytes = 100;
+
+/// Limits of a resource of a process that is started in the meantime.
+struct LimitGuard {
+  LimitGuard(int resource, rlim_t limit) : Resource(resource) {
+    getrlimit(resource, &Previous);
+    rlimit limited = {std::min(limit, Previous.rlim_cur), Previous.rlim_max};
+    setrlimit(resource, &limited);
+  }
+  ~LimitGuard() { setrlimit(Resource, &Previous); }
+
+  int Resource;
+  rlimit Previous{};
+};
+
 /// A process that waits for its settings, which it reads from a FIFO, before it
 /// handles signals.
 struct StartingVm {
@@ -42,12 +60,17 @@
   soak::VmProcess Process{SAVORY_VM_PROGRAM, Settings, Folder + "/vm.log"};
   int Fifo = -1;
 
-  StartingVm() {
+  /// \param resource limited to `limit` in the process.
+  explicit StartingVm(int resource = RLIMIT_FSIZE,
+                      rlim_t limit = RLIM_INFINITY) {
     std::filesystem::remove_all(Folder);
     std::filesystem::create_directories(Folder);
     CHECK_TRUE(Platform.start(Net));
     LONGS_EQUAL(0, mkfifo(Settings.c_str(), 0600));
-    CHECK_TRUE(Process.start());
+    {
+      LimitGuard guard(resource, limit);
+      CHECK_TRUE(Process.start());
+    }
     // Fails until the process has opened it for reading.
     MonoTime end = monoNow() + Seconds(5);
     while (Fifo < 0 && monoNow() < end) {
@@ -131,3 +154,11 @@
   vm.Process.signal(SIGHUP);
   CHECK_FALSE(vm.ended(SignalTime));
 }
+
+// Guards against SIGXFSZ ending a process whose log reaches a size limit.
+TEST(VmProcess, FullLogEndsProcess) {
+  StartingVm vm(RLIMIT_FSIZE, LogLimitBytes);
+  vm.provideSettings();
+  CHECK_FALSE(vm.ended(SignalTime));
+  LONGS_EQUAL(LogLimitBytes, std::filesystem::file_size(vm.Folder + "/vm.log"));
+}
--- a/src/savoryvm/main.cpp
+++ b/src/savoryvm/main.cpp
@@ -44,6 +44,8 @@
   if (check)
     return 0;
   std::signal(SIGPIPE, SIG_IGN);
+  // Sent when standard output is a file that has reached its size limit.
+  std::signal(SIGXFSZ, SIG_IGN);
   boost::asio::io_context io(1);
   savorylb::openEventStream(settings.Vm.Value, MaxLinesPerSecond);
   savorylb::VmDaemon daemon(io, settings, file);
