Reserve less memory for bodies that have not arrived

Where the address space of the daemon is limited, requests that announced a body of 1 MB ended it by std::bad_alloc: 200 of them sufficed with 150 MB, although one byte of each body had arrived.

Cause: the reader reserved up to 1 MB by Content-Length, while the budget of request bodies is charged only with bytes that arrive.

At most 64 kB are reserved, the part of a message that no budget counts; larger bodies grow on demand within the budget. Without a limit of the address space the reserved pages are not resident, so the memory in use was not affected.

--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -90,8 +90,9 @@
       ec = http::error::body_limit;
       return;
     }
-    // Avoids reallocation for bodies of usual size; larger ones grow on demand.
-    constexpr std::uint64_t MaxReserveBytes = 1 << 20;
+    // Avoids reallocation for bodies of usual size; larger ones grow on demand,
+    // as no budget is charged with bytes that have not arrived.
+    constexpr std::uint64_t MaxReserveBytes = ByteReservation::UnchargedBytes;
     if (length)
       Message.Body.reserve(std::min(*length, MaxReserveBytes));
   }
--- a/src/savorysoak/vm_process_test.cpp
+++ b/src/savorysoak/vm_process_test.cpp
@@ -35,6 +35,9 @@
 
 /// Largest log of a process, less than its first lines.
 constexpr rlim_t LogLimitBytes = 100;
+/// Address space of a process, and the callers that announce a large body.
+constexpr rlim_t AddressSpaceBytes = 150 << 20;
+constexpr int UploadingCallers = 200;
 
 /// Limits of a resource of a process that is started in the meantime.
 struct LimitGuard {
@@ -162,3 +165,23 @@
   CHECK_FALSE(vm.ended(SignalTime));
   LONGS_EQUAL(LogLimitBytes, std::filesystem::file_size(vm.Folder + "/vm.log"));
 }
+
+// Guards against requests that announce large bodies using up the address space
+// before the bodies arrive.
+TEST(VmProcess, AnnouncedBodiesEndProcess) {
+  StartingVm vm(RLIMIT_AS, AddressSpaceBytes);
+  vm.provideSettings();
+  CHECK_FALSE(vm.ended(SignalTime));
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (int i = 0; i < UploadingCallers; ++i) {
+    sockets.emplace_back(vm.Io);
+    boost::system::error_code ec; // The process is checked below.
+    sockets.back().connect(*parseEndpoint(vm.Platform.callerAddress(Vm)), ec);
+    asio::write(sockets.back(),
+                asio::buffer(std::string("POST /permits/1 HTTP/1.1\r\nHost: "
+                                         "maps.example\r\nContent-Length: "
+                                         "1048576\r\n\r\nx")),
+                ec);
+  }
+  CHECK_FALSE(vm.ended(SignalTime));
+}
