--- a/src/savorysoak/vm_process.cpp
+++ b/src/savorysoak/vm_process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -50,4 +51,18 @@
   return false;
 }
 
+std::int64_t VmProcess::peakResidentBytes() {
+  if (!running())
+    return 0;
+  std::ifstream in("/proc/" + std::to_string(Pid) + "/status");
+  std::string name;
+  while (in >> name)
+    if (name == "VmHWM:") {
+      std::int64_t kilobytes = 0;
+      in >> kilobytes;
+      return kilobytes * 1024;
+    }
+  return 0;
+}
+
 } // namespace savorylb::soak
--- a/src/savorysoak/vm_process.h
+++ b/src/savorysoak/vm_process.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_VM_PROCESS_H
 #define SAVORYLB_VM_PROCESS_H
 
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 
@@ -23,6 +24,9 @@
   void signal(int number);
   /// \returns whether the process is running; reaps it if it has exited.
   bool running();
+  /// \returns the largest resident size since the start; 0 if the process has
+  ///          exited.
+  std::int64_t peakResidentBytes();
 
 private:
   std::string Program;
