Charge all memory that messages occupy to their budgets

Bytes of a target without an end could take a VM's memory and the room of others' messages. The budgets left out the first 64 KB of each message and all header fields (a head of 64 KB with fields of four bytes occupies 1 MB), and counted the size of a body while it was copied to a larger buffer. A few large messages also used up the budget, so that others above 64 KB were rejected.

Fields and the copy are charged as well. What a large message may use shrinks with what is free, so endless ones fail before they leave no room; a twentieth is kept for small ones. The limits of one message stay at 32 MB and 64 MB.

--- a/src/libsavoryhttp/byte_budget.h
+++ b/src/libsavoryhttp/byte_budget.h
@@ -17,25 +17,34 @@
 
 /// The bytes of one message that are charged to a budget; released on
 /// destruction.
+///
+/// The less is free, the smaller a message may be, so that large messages of
+/// faulty peers fail before they leave no room for others.
 class ByteReservation {
 public:
-  /// Bytes of each message that are not charged, so that messages of usual size
-  /// are still accepted when large ones have used up the budget.
-  static constexpr std::int64_t UnchargedBytes = 65'536;
+  /// Size up to which a message may use the whole budget.
+  static constexpr std::int64_t SmallBytes = 65'536;
+  /// Part of the budget that only small messages may use.
+  static constexpr std::int64_t ReservedFraction = 20;
+  /// Largest ratio of a large message's bytes to those that stay free.
+  static constexpr std::int64_t MaxRatioToFree = 16;
 
   explicit ByteReservation(std::shared_ptr<ByteBudget> budget)
       : Budget(std::move(budget)) {}
-  ~ByteReservation() { Budget->Used -= charge(Bytes); }
+  ~ByteReservation() { Budget->Used -= Bytes; }
   ByteReservation(const ByteReservation &) = delete;
   ByteReservation &operator=(const ByteReservation &) = delete;
 
   /// \returns whether the budget has room for this many more bytes.
   bool fits(std::uint64_t bytes) const {
-    if (bytes > static_cast<std::uint64_t>(Budget->Limit + UnchargedBytes))
+    if (bytes > static_cast<std::uint64_t>(Budget->Limit - Budget->Used))
       return false;
     std::int64_t grown = Bytes + static_cast<std::int64_t>(bytes);
-    return Budget->Used - charge(Bytes) + charge(grown) <= Budget->Limit ||
-           grown <= UnchargedBytes;
+    std::int64_t left =
+        Budget->Limit - Budget->Used - static_cast<std::int64_t>(bytes);
+    if (grown <= SmallBytes)
+      return grown <= left;
+    return grown <= (left - Budget->Limit / ReservedFraction) * MaxRatioToFree;
   }
 
   /// Charges more bytes.
@@ -43,17 +52,12 @@
   bool grow(std::uint64_t bytes) {
     if (!fits(bytes))
       return false;
-    Budget->Used -= charge(Bytes);
     Bytes += static_cast<std::int64_t>(bytes);
-    Budget->Used += charge(Bytes);
+    Budget->Used += static_cast<std::int64_t>(bytes);
     return true;
   }
 
 private:
-  static std::int64_t charge(std::int64_t bytes) {
-    return bytes > UnchargedBytes ? bytes - UnchargedBytes : 0;
-  }
-
   std::shared_ptr<ByteBudget> Budget;
   std::int64_t Bytes = 0;
 };
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -47,7 +47,7 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   /// \param maxBodyBytes limit of one response's body.
-  /// \param budget charged with the bodies of responses, or null.
+  /// \param budget charged with the responses, or null.
   HttpConnection(const asio::any_io_executor &io, std::int64_t maxBodyBytes,
                  std::shared_ptr<ByteBudget> budget = nullptr);
 
--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -31,14 +31,25 @@
   bool OverBudget = false;
   std::size_t MaxHeaderBytes = 0;
 
-  /// Charges body bytes to the budget, if there is one.
-  bool reserve(std::size_t bytes, ParseError &ec) {
-    if (!Message.Memory || Message.Memory->grow(bytes))
+  /// Charges bytes to the budget, if there is one.
+  /// \param copied bytes that are copied meanwhile and must fit as well.
+  bool reserve(std::size_t bytes, std::size_t copied, ParseError &ec) {
+    ByteReservation *memory = Message.Memory.get();
+    if (!memory || (memory->fits(bytes + copied) && memory->grow(bytes)))
       return true;
     OverBudget = true;
     ec = http::error::body_limit;
     return false;
   }
+
+  std::size_t appendBody(string_view part, ParseError &ec) {
+    std::string &body = Message.Body;
+    bool grows = body.capacity() - body.size() < part.size();
+    if (!reserve(part.size(), grows ? body.size() : 0, ec))
+      return 0;
+    body.append(part.data(), part.size());
+    return part.size();
+  }
 };
 
 template <bool IsRequest>
@@ -79,6 +90,11 @@
       ec = http::error::bad_content_length;
     HasLength |= length;
     HasEncoding |= encoding;
+    // Many short fields occupy far more than their text. The vector's capacity
+    // is up to twice its size.
+    if (ec ||
+        !reserve(name.size() + value.size() + 2 * sizeof(HttpField), 0, ec))
+      return;
     Message.Fields.emplace_back(std::string(name.data(), name.size()),
                                 std::string(value.data(), value.size()));
   }
@@ -96,19 +112,13 @@
       Message.Body.reserve(std::min(*length, MaxReserveBytes));
   }
   std::size_t on_body_impl(string_view body, ParseError &ec) override {
-    if (!reserve(body.size(), ec))
-      return 0;
-    Message.Body.append(body.data(), body.size());
-    return body.size();
+    return appendBody(body, ec);
   }
   void on_chunk_header_impl(std::uint64_t, string_view, ParseError &) override {
   }
   std::size_t on_chunk_body_impl(std::uint64_t, string_view body,
                                  ParseError &ec) override {
-    if (!reserve(body.size(), ec))
-      return 0;
-    Message.Body.append(body.data(), body.size());
-    return body.size();
+    return appendBody(body, ec);
   }
   void on_finish_impl(ParseError &) override {}
 };
--- a/src/libsavoryhttp/http_reader.h
+++ b/src/libsavoryhttp/http_reader.h
@@ -17,7 +17,7 @@
   Malformed,
   HeaderTooLarge,
   BodyTooLarge,
-  /// The budget that bodies share is used up.
+  /// The budget that messages share is used up.
   NoMemory,
 };
 
@@ -30,7 +30,7 @@
   /// of
   ///        the trailer fields and of each chunk's line.
   /// \param maxBodyBytes limit of the body.
-  /// \param budget charged with the body, or null.
+  /// \param budget charged with the header fields and the body, or null.
   HttpReader(Kind kind, std::int64_t maxHeaderBytes, std::int64_t maxBodyBytes,
              const std::shared_ptr<ByteBudget> &budget = nullptr);
   ~HttpReader();
--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -1,5 +1,8 @@
 #include "http_reader.h"
 
+#include <vector>
+
+// Redefines operator new; must be included after the standard headers.
 #include <CppUTest/TestHarness.h>
 
 using namespace savorylb;
@@ -119,6 +122,58 @@
   }
 }
 
+// Guards against heads and trailers of many short fields, which occupy many
+// times their text, beside the budget.
+TEST(HttpReader, FieldsAreNotChargedToTheBudget) {
+  constexpr std::int64_t HeadBytes = 65'536;
+  constexpr std::int64_t Limit = 4 << 20;
+  for (const std::string start :
+       {"HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"}) {
+    auto budget = std::make_shared<ByteBudget>(Limit);
+    std::vector<HttpReader> readers;
+    std::size_t occupied = 0;
+    for (int i = 0; i < 20; ++i) {
+      readers.emplace_back(HttpReader::Kind::Response, HeadBytes, MaxBodyBytes,
+                           budget);
+      std::string text = start;
+      while (text.size() < HeadBytes - 100)
+        text += "A:\r\n";
+      text += "\r\n";
+      bool rejected = readers.back().read(text) == ReadState::Invalid;
+      CHECK_EQUAL(rejected, readers.back().error() == ReadError::NoMemory);
+      occupied +=
+          readers.back().message().Fields.capacity() * sizeof(HttpField);
+    }
+    CHECK_TRUE(occupied > 0);
+    CHECK_TRUE(occupied <= Limit);
+  }
+}
+
+// Guards against a body that exceeds the budget while it is copied to a larger
+// buffer.
+TEST(HttpReader, GrowingBodyExceedsTheBudget) {
+  constexpr std::int64_t Limit = 8 << 20;
+  auto budget = std::make_shared<ByteBudget>(Limit);
+  ByteReservation other(budget);
+  CHECK_TRUE(other.grow(3 << 20));
+  HttpReader reader(HttpReader::Kind::Response, MaxHeaderBytes, Limit, budget);
+  std::string buffer = "HTTP/1.1 200 OK\r\n\r\n";
+  std::size_t previous = 0;
+  while (reader.read(buffer) == ReadState::NeedMore) {
+    std::size_t capacity = reader.message().Body.capacity();
+    if (capacity != previous)
+      CHECK_TRUE(
+          static_cast<std::int64_t>(reader.message().Body.size() + previous) +
+              (3 << 20) <=
+          Limit);
+    previous = capacity;
+    buffer = std::string(16'384, 'x');
+  }
+  CHECK_TRUE(reader.error() == ReadError::NoMemory);
+  CHECK_TRUE(previous > 0);
+}
+
 TEST_GROUP(HttpMessage){};
 
 // Guards against hop-by-hop fields that are forwarded to another connection.
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -69,7 +69,7 @@
   /// longer idle timeout applies to idle connections as well.
   void setLimits(const SessionLimits &limits) { Limits = limits; }
 
-  /// Sets the budget that is charged with the bodies of requests. A request
+  /// Sets the budget that is charged with the requests. A request
   /// that does not fit is rejected with 503 before it reaches the handler.
   void setBodyBudget(std::shared_ptr<ByteBudget> budget) {
     BodyBudget = std::move(budget);
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -42,7 +42,7 @@
 constexpr Duration StoreUnreachableAfter = Millis(3200);
 /// Largest response of a target.
 constexpr std::int64_t MaxResponseBytes = 32 << 20;
-/// Limits of the bodies that are held at one time: the responses of all targets
+/// Limits of the messages that are held at one time: the responses of all targets
 /// until callers have received them, and the requests of all callers. The
 /// smallest VMs have 160 MB; a request may have 64 MB.
 constexpr std::int64_t ResponseBudgetBytes = 40 << 20;
