Bound the lines of all chunks of a message together

A target that sends chunks of one byte with long extensions or many leading zeros was read until the deadline: each line was bounded, their number only by the body's limit. A message may now take 16 times its body, beside its head. ChunkLinesAreUnbounded failed before; ReadsChunksOfOneByte guards the other side.

--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -13,6 +13,14 @@
 using boost::beast::string_view;
 using ParseError = boost::beast::error_code;
 
+namespace {
+
+/// Largest ratio of a chunked message's bytes to those of its body. A chunk of
+/// one byte takes six.
+constexpr std::size_t MaxChunkingRatio = 16;
+
+} // namespace
+
 struct HttpReader::Parser {
   virtual ~Parser() = default;
   virtual std::size_t put(const std::string &buffer, ParseError &ec) = 0;
@@ -30,6 +38,13 @@
   bool HasEncoding = false;
   bool OverBudget = false;
   std::size_t MaxHeaderBytes = 0;
+  std::size_t ParsedBytes = 0;
+
+  /// \returns whether the lines of the chunks take up most of the message.
+  bool hasLongChunkLines() const {
+    return ParsedBytes >
+           2 * MaxHeaderBytes + MaxChunkingRatio * Message.Body.size();
+  }
 
   /// Charges bytes to the budget, if there is one.
   /// \param copied bytes that are copied meanwhile and must fit as well.
@@ -153,6 +168,7 @@
     std::size_t n = Impl->put(buffer, ec);
     Impl->Started = true;
     buffer.erase(0, n);
+    Impl->ParsedBytes += n;
     if (ec == http::error::need_more) {
       if (n == 0)
         break;
@@ -169,9 +185,11 @@
     if (n == 0)
       break;
   }
-  if (!Impl->done() && buffer.size() > Impl->MaxHeaderBytes) {
+  if (!Impl->done() &&
+      (buffer.size() > Impl->MaxHeaderBytes || Impl->hasLongChunkLines())) {
     // The parser limits the header, but neither the line of a chunk nor the
-    // trailer fields, and consumes them only when they are complete.
+    // trailer fields, and consumes them only when they are complete. Nor does
+    // it limit the lines of all chunks together.
     Impl->Error = ReadError::HeaderTooLarge;
     return ReadState::Invalid;
   }
--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -174,6 +174,35 @@
   CHECK_TRUE(previous > 0);
 }
 
+// Guards against endless chunks of one byte, each with a long line, which are
+// read until the deadline because the body stays small.
+TEST(HttpReader, ChunkLinesAreUnbounded) {
+  for (const std::string &chunk : {"1;" + std::string(3000, 'x') + "\r\na\r\n",
+                                   std::string(3000, '0') + "1\r\na\r\n"}) {
+    HttpReader reader = makeReader(HttpReader::Kind::Response);
+    std::string buffer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    ReadState state = reader.read(buffer);
+    for (int i = 0; i < 100 && state == ReadState::NeedMore; ++i) {
+      buffer += chunk;
+      state = reader.read(buffer);
+    }
+    CHECK_TRUE(state == ReadState::Invalid);
+    CHECK_TRUE(reader.error() == ReadError::HeaderTooLarge);
+  }
+}
+
+// Guards against rejecting a body that is sent in chunks of one byte.
+TEST(HttpReader, ReadsChunksOfOneByte) {
+  HttpReader reader = makeReader(HttpReader::Kind::Response);
+  std::string buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 50'000; ++i)
+    buffer += "0001;a=b\r\nx\r\n";
+  buffer += "0\r\n\r\n";
+  CHECK_TRUE(reader.read(buffer) == ReadState::Complete);
+  LONGS_EQUAL(50'000, reader.message().Body.size());
+}
+
 TEST_GROUP(HttpMessage){};
 
 // Guards against hop-by-hop fields that are forwarded to another connection.
