Give idle connections no read buffer

Each connection had a read buffer of 16 KB and kept the capacity of its parse buffer. With up to 4,100 descriptors that is 64 MB beside the budgets. Bytes are now read when the socket is readable.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "http_connection.h"
 
 #include "savorylb/clock.h"
+#include "socket_read.h"
 
 #include <charconv>
 #include <cstring>
@@ -9,7 +10,6 @@
 namespace savorylb {
 namespace {
 
-constexpr std::size_t ReadBufferBytes = 16'384;
 constexpr std::int64_t MaxResponseHeadBytes = 65'536;
 /// Interim and skipped responses that are read before the response to one
 /// request. A late response to an earlier request is rare, so more of them come
@@ -74,7 +74,7 @@
                                std::int64_t maxBodyBytes,
                                std::shared_ptr<ByteBudget> budget)
     : Socket(io), Timer(io), MaxBodyBytes(maxBodyBytes),
-      Budget(std::move(budget)), ReadBuffer(ReadBufferBytes, 0) {}
+      Budget(std::move(budget)) {}
 
 void HttpConnection::connect(const std::string &address, Duration timeout,
                              const std::function<void(bool)> &done) {
@@ -102,6 +102,7 @@
         }
         boost::system::error_code ignored; // The option is not essential.
         self->Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->Socket.non_blocking(true, ignored); // Cannot fail when open.
         int ms = TcpUserTimeoutMs;
         setsockopt(self->Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                    &ms, sizeof ms);
@@ -169,17 +170,20 @@
     return;
   Reading = true;
   auto self = shared_from_this();
-  Socket.async_read_some(
-      asio::buffer(ReadBuffer),
-      [self](const boost::system::error_code &ec, std::size_t n) {
-        self->Reading = false;
-        self->onRead(ec, n);
-      });
+  Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                    [self](const boost::system::error_code &ec) {
+                      self->Reading = false;
+                      self->onReadable(ec);
+                    });
 }
 
-void HttpConnection::onRead(const boost::system::error_code &ec,
-                            std::size_t n) {
-  Buffer.append(ReadBuffer.data(), n);
+void HttpConnection::onReadable(boost::system::error_code ec) {
+  if (!ec)
+    ec = readAvailable(Socket, Buffer);
+  if (ec == asio::error::would_block) {
+    readMore();
+    return;
+  }
   if (!Busy) {
     // No data is expected on an idle connection: the peer closed it or sent
     // bytes that belong to no request.
@@ -260,6 +264,7 @@
     KeepAliveTimeout = parseKeepAliveTimeout(message);
     ++Generation;
     Current = Exchange();
+    Buffer = std::string(); // Frees its capacity while the connection is idle.
     readMore();
   }
   if (done)
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -80,7 +80,7 @@
   void expectResponse();
   bool skipResponse(const HttpMessage &message);
   void readMore();
-  void onRead(const boost::system::error_code &ec, std::size_t n);
+  void onReadable(boost::system::error_code ec);
   void readResponse(bool ended);
   void finish(ExchangeOutcome outcome);
 
@@ -89,7 +89,6 @@
   std::int64_t MaxBodyBytes;
   std::shared_ptr<ByteBudget> Budget;
   std::string Buffer;
-  std::string ReadBuffer;
   std::optional<HttpReader> Reader;
   Exchange Current;
   /// Interim and skipped responses of the current exchange, and the bytes of
--- a/src/libsavoryhttp/http_session.cpp
+++ b/src/libsavoryhttp/http_session.cpp
@@ -2,11 +2,11 @@
 
 #include "savorylb/clock.h"
 #include "savorylb/metrics.h"
+#include "socket_read.h"
 
 namespace savorylb {
 namespace {
 
-constexpr std::size_t ReadBufferBytes = 16'384;
 /// Buffered bytes of further requests at which reading pauses.
 constexpr std::size_t MaxBufferedBytes = 65'536;
 /// Resolution of the arrival times of buffered requests; bounds their number.
@@ -16,11 +16,12 @@
 
 HttpServer::Session::Session(HttpServer &server, asio::ip::tcp::socket socket)
     : Server(server), Socket(std::move(socket)), ReadTimer(server.Io),
-      WriteTimer(server.Io), ReadBuffer(ReadBufferBytes, 0) {}
+      WriteTimer(server.Io) {}
 
 void HttpServer::Session::start() {
   boost::system::error_code ignored; // The option is not essential.
   Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Socket.non_blocking(true, ignored); // Cannot fail when open.
   becomeIdle();
   readMore();
 }
@@ -64,6 +65,7 @@
 
 void HttpServer::Session::becomeIdle() {
   IdleSince = monoNow();
+  Buffer = std::string(); // Frees its capacity.
   setReadTimer(Server.Limits.IdleTimeout);
 }
 
@@ -218,18 +220,23 @@
     return;
   Reading = true;
   auto self = shared_from_this();
-  Socket.async_read_some(
-      asio::buffer(ReadBuffer),
-      [self](const boost::system::error_code &ec, std::size_t n) {
-        self->Reading = false;
-        self->onRead(ec, n);
-      });
+  Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                    [self](const boost::system::error_code &ec) {
+                      self->Reading = false;
+                      self->onReadable(ec);
+                    });
 }
 
-void HttpServer::Session::onRead(const boost::system::error_code &ec,
-                                 std::size_t n) {
+void HttpServer::Session::onReadable(boost::system::error_code ec) {
   if (Closed)
     return;
+  std::size_t buffered = Buffer.size();
+  if (!ec)
+    ec = readAvailable(Socket, Buffer);
+  if (ec == asio::error::would_block) {
+    readMore();
+    return;
+  }
   if (ec) {
     close(ClosedBy::Client);
     return;
@@ -242,8 +249,7 @@
   MonoTime now = monoNow();
   if (ReadMarks.empty() || now - ReadMarks.back().At >= ReadMarkInterval)
     ReadMarks.push_back({BytesRead, now});
-  BytesRead += n;
-  Buffer.append(ReadBuffer.data(), n);
+  BytesRead += Buffer.size() - buffered;
   advance();
 }
 
--- a/src/libsavoryhttp/http_session.h
+++ b/src/libsavoryhttp/http_session.h
@@ -76,7 +76,7 @@
   void linger();
 
   void readMore();
-  void onRead(const boost::system::error_code &ec, std::size_t n);
+  void onReadable(boost::system::error_code ec);
   void becomeIdle();
 
   void setTimer(asio::steady_timer &timer, std::uint64_t &generation,
@@ -97,7 +97,6 @@
   std::uint64_t WriteTimerGeneration = 0;
   /// Bytes that were read and not parsed yet.
   std::string Buffer;
-  std::string ReadBuffer;
   std::uint64_t BytesRead = 0;
   std::deque<ReadMark> ReadMarks;
   std::optional<HttpReader> Reader;
