--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -13,6 +13,14 @@
 using boost::beast::string_view;
 using ParseError = boost::beast::error_code;
 
+namespace {
+
+/// Largest ratio of a chunked message's bytes to those of its body. A chunk of
+/// one byte takes six.
+constexpr std::size_t MaxChunkingRatio = 16;
+
+} // namespace
+
 struct HttpReader::Parser {
   virtual ~Parser() = default;
   virtual std::size_t put(const std::string &buffer, ParseError &ec) = 0;
@@ -30,15 +38,33 @@
   bool HasEncoding = false;
   bool OverBudget = false;
   std::size_t MaxHeaderBytes = 0;
+  std::size_t ParsedBytes = 0;
 
-  /// Charges body bytes to the budget, if there is one.
-  bool reserve(std::size_t bytes, ParseError &ec) {
-    if (!Message.Memory || Message.Memory->grow(bytes))
+  /// \returns whether the lines of the chunks take up most of the message.
+  bool hasLongChunkLines() const {
+    return ParsedBytes >
+           2 * MaxHeaderBytes + MaxChunkingRatio * Message.Body.size();
+  }
+
+  /// Charges bytes to the budget, if there is one.
+  /// \param copied bytes that are copied meanwhile and must fit as well.
+  bool reserve(std::size_t bytes, std::size_t copied, ParseError &ec) {
+    ByteReservation *memory = Message.Memory.get();
+    if (!memory || (memory->fits(bytes + copied) && memory->grow(bytes)))
       return true;
     OverBudget = true;
     ec = http::error::body_limit;
     return false;
   }
+
+  std::size_t appendBody(string_view part, ParseError &ec) {
+    std::string &body = Message.Body;
+    bool grows = body.capacity() - body.size() < part.size();
+    if (!reserve(part.size(), grows ? body.size() : 0, ec))
+      return 0;
+    body.append(part.data(), part.size());
+    return part.size();
+  }
 };
 
 template <bool IsRequest>
@@ -79,6 +105,11 @@
       ec = http::error::bad_content_length;
     HasLength |= length;
     HasEncoding |= encoding;
+    // Many short fields occupy far more than their text. The vector's capacity
+    // is up to twice its size.
+    if (ec ||
+        !reserve(name.size() + value.size() + 2 * sizeof(HttpField), 0, ec))
+      return;
     Message.Fields.emplace_back(std::string(name.data(), name.size()),
                                 std::string(value.data(), value.size()));
   }
@@ -97,19 +128,13 @@
       Message.Body.reserve(std::min(*length, MaxReserveBytes));
   }
   std::size_t on_body_impl(string_view body, ParseError &ec) override {
-    if (!reserve(body.size(), ec))
-      return 0;
-    Message.Body.append(body.data(), body.size());
-    return body.size();
+    return appendBody(body, ec);
   }
   void on_chunk_header_impl(std::uint64_t, string_view, ParseError &) override {
   }
   std::size_t on_chunk_body_impl(std::uint64_t, string_view body,
                                  ParseError &ec) override {
-    if (!reserve(body.size(), ec))
-      return 0;
-    Message.Body.append(body.data(), body.size());
-    return body.size();
+    return appendBody(body, ec);
   }
   void on_finish_impl(ParseError &) override {}
 };
@@ -144,6 +169,7 @@
     std::size_t n = Impl->put(buffer, ec);
     Impl->Started = true;
     buffer.erase(0, n);
+    Impl->ParsedBytes += n;
     if (ec == http::error::need_more) {
       if (n == 0)
         break;
@@ -160,9 +186,11 @@
     if (n == 0)
       break;
   }
-  if (!Impl->done() && buffer.size() > Impl->MaxHeaderBytes) {
+  if (!Impl->done() &&
+      (buffer.size() > Impl->MaxHeaderBytes || Impl->hasLongChunkLines())) {
     // The parser limits the header, but neither the line of a chunk nor the
-    // trailer fields, and consumes them only when they are complete.
+    // trailer fields, and consumes them only when they are complete. Nor does
+    // it limit the lines of all chunks together.
     Impl->Error = ReadError::HeaderTooLarge;
     return ReadState::Invalid;
   }
--- a/src/savorysoak/vm_process.cpp
+++ b/src/savorysoak/vm_process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -62,4 +63,18 @@
   return std::exchange(Status, std::nullopt);
 }
 
+std::int64_t VmProcess::peakResidentBytes() {
+  if (!running())
+    return 0;
+  std::ifstream in("/proc/" + std::to_string(Pid) + "/status");
+  std::string name;
+  while (in >> name)
+    if (name == "VmHWM:") {
+      std::int64_t kilobytes = 0;
+      in >> kilobytes;
+      return kilobytes * 1024;
+    }
+  return 0;
+}
+
 } // namespace savorylb::soak
--- a/src/savorysoak/vm_process.h
+++ b/src/savorysoak/vm_process.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_VM_PROCESS_H
 #define SAVORYLB_VM_PROCESS_H
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -28,6 +29,9 @@
   /// \returns how the last process ended, in the form of waitpid(); nothing
   ///          before its end is known and after the status was taken.
   std::optional<int> takeStatus();
+  /// \returns the largest resident size since the start; 0 if the process has
+  ///          exited.
+  std::int64_t peakResidentBytes();
 
 private:
   std::string Program;
--- a/src/savoryvm/main.cpp
+++ b/src/savoryvm/main.cpp
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -14,6 +15,10 @@
 /// Log lines per second above which request_done lines are dropped; several
 /// times the usual load of a VM.
 constexpr int MaxLinesPerSecond = 200;
+/// Blocks from this size on are mapped on their own, and their memory returns
+/// to the system when they are freed. Setting it keeps glibc from raising it up
+/// to 32 MB, beyond which freed bodies would remain in the heap.
+constexpr int MappedBlockBytes = 256 << 10;
 
 /// Blocks or unblocks the signals that the daemon handles.
 void maskSignals(int how) {
@@ -47,6 +52,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   // Sent when standard output is a file that has reached its size limit.
   std::signal(SIGXFSZ, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
   boost::asio::io_context io(1);
   savorylb::openEventStream(settings.Vm.Value, MaxLinesPerSecond);
   savorylb::reportFatalSignals();
