Restore the store in the soak

The soak had no store that comes back from an older copy. Each run now restores it at least once: the store is copied, loses 0.3 to 4 s of writes, is busy for a moment and returns with the copy. The configuration and the targets' entries that it has lost are written again within 2 s, unless a newer one was written by then.

--- a/src/savorysoak/fault_injector.cpp
+++ b/src/savorysoak/fault_injector.cpp
@@ -10,6 +10,7 @@
 namespace savorylb::soak {
 namespace {
 
+using standin::PlatformStore;
 using standin::StoreFaults;
 using standin::TargetMode;
 
@@ -51,6 +52,8 @@
 
 void FaultInjector::start() {
   changeTimeouts();
+  // Each run has at least one restore.
+  restoreStore();
   injectNext();
 }
 
@@ -86,7 +89,7 @@
 
 void FaultInjector::injectSeveral() {
   Fleet.Report.Faults += 2;
-  switch (randomBelow(6)) {
+  switch (randomBelow(7)) {
   case 0: {
     std::size_t first = randomBelow(Fleet.Vms.size());
     std::size_t second = (first + 1) % Fleet.Vms.size();
@@ -106,6 +109,9 @@
   case 4:
     changeConfigInSeries();
     break;
+  case 5:
+    restoreStore();
+    break;
   default:
     injectTargetFault();
     injectProcessFault(randomVm());
@@ -164,6 +170,50 @@
   }
 }
 
+void FaultInjector::restoreStore() {
+  Fleet.Platform.Store.takeCopy();
+  logLine(Fleet, "store copied");
+  Duration age = randomSpan(300, 4000);
+  later(age, [this] {
+    StoreFaults faults;
+    faults.Busy = true;
+    Fleet.Platform.Store.setFaults(faults);
+  });
+  later(age + randomSpan(100, 1500), [this] { returnToCopy(); });
+}
+
+void FaultInjector::returnToCopy() {
+  struct LostWrite {
+    std::string Value;
+    std::string CopiedValue;
+  };
+  PlatformStore &store = Fleet.Platform.Store;
+  std::map<std::string, LostWrite> writes;
+  writes["op/config"].Value = store.get("op/config");
+  for (std::size_t i = 0; i < Fleet.Platform.Targets.size(); ++i) {
+    std::string key = "servers/i-" + std::to_string(i);
+    writes[key].Value = store.get(key);
+  }
+  store.restoreCopy();
+  store.setFaults(StoreFaults());
+  for (auto &[key, write] : writes)
+    write.CopiedValue = store.get(key);
+  logLine(Fleet, "store restored from its copy");
+  // Runs also after the end of the faults, so that no write stays lost.
+  runAfter(Fleet, randomSpan(0, 2000), [&store, writes] {
+    for (const auto &[key, write] : writes) {
+      // Another fault may have written a newer value.
+      if (write.Value == write.CopiedValue ||
+          store.get(key) != write.CopiedValue)
+        continue;
+      if (write.Value.empty())
+        store.remove(key);
+      else
+        store.put(key, write.Value);
+    }
+  });
+}
+
 void FaultInjector::hangup(SoakVm &vm) {
   std::ifstream in(vm.SettingsFile);
   std::stringstream text;
--- a/src/savorysoak/fault_injector.h
+++ b/src/savorysoak/fault_injector.h
@@ -30,6 +30,10 @@
   void hangupDuringConfigChange();
   void restartDuringStoreOutage();
   void changeConfigInSeries();
+  /// Lets the store come back from a copy; the operator and the targets write
+  /// again what it has lost.
+  void restoreStore();
+  void returnToCopy();
   void changeTimeouts();
   void hangup(SoakVm &vm);
   void withdrawKey();
