Count calls to the store and bytes between zones by kind

Operators saw neither which calls to the store a VM makes nor which of its messages leave the availability zone, both of which are billed. Bytes are counted where a message is sent or its response is read; team reports are counted by the zone of the VM that they go to.

vm_daemon starts the mirrors in the loop that sets their callbacks; lists are asynchronous, so their order is unchanged.

--- a/src/include/savorylb/metrics.h
+++ b/src/include/savorylb/metrics.h
@@ -26,6 +26,30 @@
 /// \param name name of the counter without the `savorylb_` prefix.
 void incrementCounter(const std::string &name, std::int64_t n = 1);
 
+/// Kinds of calls to the platform's metadata store.
+enum class StoreCall { List, Watch, Renewal, Lease, Write };
+
+/// Counts one call to the store, as `store_calls_KIND`.
+void recordStoreCall(StoreCall kind);
+
+/// Kinds of traffic between availability zones.
+enum class ZoneTraffic {
+  /// Requests sent to targets, and their responses.
+  Request,
+  Response,
+  /// Changes from a followed VM.
+  Documents,
+  /// Reports sent to other VMs.
+  Report,
+  /// Documents fetched from another VM while the store does not answer, or
+  /// after that VM reported newer ones.
+  CatchUp
+};
+
+/// Adds bytes that were sent to, or received from, another zone, as
+/// `zone_bytes_KIND`.
+void recordZoneTraffic(ZoneTraffic kind, std::size_t bytes);
+
 /// \returns the value of a named counter.
 std::int64_t counterValue(const std::string &name);
 
--- a/src/libsavoryobserve/metrics.cpp
+++ b/src/libsavoryobserve/metrics.cpp
@@ -101,6 +101,37 @@
   return it == shard.Counters.end() ? 0 : it->second;
 }
 
+void recordStoreCall(StoreCall kind) {
+  switch (kind) {
+  case StoreCall::List:
+    return incrementCounter("store_calls_list");
+  case StoreCall::Watch:
+    return incrementCounter("store_calls_watch");
+  case StoreCall::Renewal:
+    return incrementCounter("store_calls_renewal");
+  case StoreCall::Lease:
+    return incrementCounter("store_calls_lease");
+  case StoreCall::Write:
+    return incrementCounter("store_calls_write");
+  }
+}
+
+void recordZoneTraffic(ZoneTraffic kind, std::size_t bytes) {
+  auto n = static_cast<std::int64_t>(bytes);
+  switch (kind) {
+  case ZoneTraffic::Request:
+    return incrementCounter("zone_bytes_request", n);
+  case ZoneTraffic::Response:
+    return incrementCounter("zone_bytes_response", n);
+  case ZoneTraffic::Documents:
+    return incrementCounter("zone_bytes_documents", n);
+  case ZoneTraffic::Report:
+    return incrementCounter("zone_bytes_report", n);
+  case ZoneTraffic::CatchUp:
+    return incrementCounter("zone_bytes_catch_up", n);
+  }
+}
+
 void setGauge(const std::string &name, double value) {
   MetricShard &shard = shardFor(name);
   std::lock_guard<std::mutex> guard(shard.Lock);
--- a/src/libsavorysteer/fleet_view.cpp
+++ b/src/libsavorysteer/fleet_view.cpp
@@ -84,6 +84,13 @@
   return vms;
 }
 
+bool isInOtherZone(const FleetView &view, const std::string &peerAddress) {
+  auto it = std::find_if(
+      view.Registered.begin(), view.Registered.end(),
+      [&](const auto &vm) { return vm.second.PeerAddress == peerAddress; });
+  return it != view.Registered.end() && it->second.Zone != view.Self.Zone;
+}
+
 double peerDemand(const FleetView &view, const TeamId &team, MonoTime now) {
   double sum = 0;
   for (const auto &[vm, peer] : view.Peers) {
--- a/src/libsavorysteer/fleet_view.h
+++ b/src/libsavorysteer/fleet_view.h
@@ -89,6 +89,10 @@
 std::vector<VmEntry> storeWatchers(const FleetView &view,
                                    const RegionId &region, MonoTime now);
 
+/// \param peerAddress address for messages from other VMs.
+/// \returns whether it belongs to a registered VM in another zone.
+bool isInOtherZone(const FleetView &view, const std::string &peerAddress);
+
 /// \returns the requests per second of a team at the other VMs.
 double peerDemand(const FleetView &view, const TeamId &team, MonoTime now);
 
--- a/src/savoryvm/peer_link.cpp
+++ b/src/savoryvm/peer_link.cpp
@@ -5,7 +5,7 @@
 #include "savorylb/clock.h"
 #include "savorylb/metrics.h"
 
-#include <set>
+#include <map>
 
 namespace savorylb {
 namespace {
@@ -13,6 +13,16 @@
 /// Bounds the cost of a round in a large fleet.
 constexpr std::size_t MaxReportsPerRound = 24;
 
+/// \returns the zone of a VM, or this VM's zone if the VM is not known.
+ZoneId zoneOf(const FleetView &view, const VmId &vm) {
+  auto entry = view.Registered.find(vm);
+  if (entry != view.Registered.end())
+    return entry->second.Zone;
+  auto peer = view.Peers.find(vm);
+  return peer != view.Peers.end() ? peer->second.Report.Vm.Zone
+                                  : view.Self.Zone;
+}
+
 asio::ip::udp::endpoint udpEndpoint(const std::string &address) {
   auto tcp = parseEndpoint(address);
   if (!tcp)
@@ -37,21 +47,25 @@
 
 void PeerLink::sendReports() {
   std::string text = writePeerReport(makePeerReport(State, monoNow()));
-  std::set<std::string> addresses;
+  std::map<std::string, ZoneId> zones;
   for (const auto &[vm, entry] : State.Fleet.Registered)
-    addresses.insert(entry.PeerAddress);
+    zones[entry.PeerAddress] = entry.Zone;
   for (const auto &[vm, peer] : State.Fleet.Peers)
     if (monoNow() - peer.ReceivedAt < DemandRetention)
-      addresses.insert(peer.Report.Vm.PeerAddress);
-  std::vector<std::string> order(addresses.begin(), addresses.end());
+      zones[peer.Report.Vm.PeerAddress] = peer.Report.Vm.Zone;
+  std::vector<std::pair<std::string, ZoneId>> order(zones.begin(), zones.end());
   std::size_t n = std::min(order.size(), MaxReportsPerRound);
-  for (std::size_t i = 0; i < n; ++i)
-    sendTo(udpEndpoint(order[(NextPeer + i) % order.size()]), text);
+  for (std::size_t i = 0; i < n; ++i) {
+    const auto &[address, zone] = order[(NextPeer + i) % order.size()];
+    sendTo(udpEndpoint(address), zone, text);
+  }
   NextPeer += n;
 }
 
-void PeerLink::sendTo(const asio::ip::udp::endpoint &to,
+void PeerLink::sendTo(const asio::ip::udp::endpoint &to, const ZoneId &zone,
                       const std::string &text) {
+  if (zone != State.Fleet.Self.Zone)
+    recordZoneTraffic(ZoneTraffic::Report, text.size());
   boost::system::error_code ec;
   Socket.send_to(asio::buffer(text), to, 0, ec);
   if (ec)
@@ -63,13 +77,13 @@
   for (const auto &[vm, usages] : takeTeamReports(State, monoNow())) {
     auto peer = State.Fleet.Peers.find(vm);
     auto entry = State.Fleet.Registered.find(vm);
-    std::string address;
+    const VmEntry *to = nullptr;
     if (entry != State.Fleet.Registered.end())
-      address = entry->second.PeerAddress;
+      to = &entry->second;
     else if (peer != State.Fleet.Peers.end())
-      address = peer->second.Report.Vm.PeerAddress;
-    if (!address.empty())
-      sendTo(udpEndpoint(address),
+      to = &peer->second.Report.Vm;
+    if (to)
+      sendTo(udpEndpoint(to->PeerAddress), to->Zone,
              writeTeamMessage({State.Fleet.Self.Vm, usages, {}}));
   }
 }
@@ -79,7 +93,7 @@
   auto message = readTeamMessage(text);
   if (message) {
     if (!message.value().Usages.empty())
-      sendTo(Sender,
+      sendTo(Sender, zoneOf(State.Fleet, message.value().Vm),
              writeTeamMessage({State.Fleet.Self.Vm,
                                {},
                                applyTeamReport(State, message.value().Vm,
--- a/src/savoryvm/peer_link.h
+++ b/src/savoryvm/peer_link.h
@@ -33,7 +33,8 @@
 private:
   void receive();
   void onDatagram(const std::string &text);
-  void sendTo(const asio::ip::udp::endpoint &to, const std::string &text);
+  void sendTo(const asio::ip::udp::endpoint &to, const ZoneId &zone,
+              const std::string &text);
 
   SteeringState &State;
   asio::ip::udp::socket Socket;
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -98,6 +98,7 @@
   CurrentSend.ExpectedUncachedMs = choice.ExpectedUncachedMs;
   CurrentSend.LoadAtSend = expectedRequests(target, now);
   CurrentSend.SentAt = now;
+  CurrentSend.LeavesZone = target.Entry.Zone != State.Fleet.Self.Zone;
   recordSend(State, Steered, target, now);
   bool retryable = Steered.Route->Retry == RetryRule::Retryable;
   std::optional<Duration> maxIdle;
@@ -222,6 +223,9 @@
   };
   MayHaveRun = true;
   ++SendCount;
+  if (CurrentSend.LeavesZone)
+    recordZoneTraffic(ZoneTraffic::Request,
+                      exchange.Head->size() + Body->size());
   CurrentSend.Connection->start(std::move(exchange));
 }
 
@@ -260,6 +264,8 @@
 }
 
 void RequestProxy::onResponse(HttpMessage &response) {
+  if (CurrentSend.LeavesZone)
+    recordZoneTraffic(ZoneTraffic::Response, response.Body.size());
   platform::TargetReply reply = platform::readTargetReply(response);
   applyNotices(reply);
   if (hasAttemptId())
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -27,6 +27,8 @@
     VersionId Version;
     std::shared_ptr<HttpConnection> Connection;
     bool Reused = false;
+    /// The target is in another zone than this VM.
+    bool LeavesZone = false;
     double ExpectedMs = 0;
     double ExpectedUncachedMs = 0;
     double LoadAtSend = 0;
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -25,6 +25,12 @@
 constexpr Millis FollowedWatchWait(1000);
 constexpr Duration FollowedWatchTimeout = Millis(700);
 
+void recordStoreBytes(const Result<HttpMessage> &response) {
+  if (response)
+    incrementCounter("store_bytes_received",
+                     static_cast<std::int64_t>(response.value().Body.size()));
+}
+
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &io, const std::string &address,
@@ -101,8 +107,10 @@
     ListedSinceAnnounced = true;
     EraListedAt = monoNow();
   }
+  recordStoreCall(StoreCall::List);
   Channel.call(platform::listRequest(Mirror.Prefix, after), CallTimeout,
                [this, after](const Result<HttpMessage> &response) {
+                 recordStoreBytes(response);
                  isNewEra(response);
                  auto page = response ? platform::readPage(response.value())
                                       : Result<platform::StorePage>(
@@ -169,9 +177,11 @@
   Millis wait =
       hasFollowers ? std::min(WatchWait, FollowedWatchWait) : WatchWait;
   Duration timeout = hasFollowers ? FollowedWatchTimeout : CallTimeout;
+  recordStoreCall(StoreCall::Watch);
   Channel.call(
       platform::watchRequest(Mirror.Prefix, Mirror.KnownRevision, wait),
       Duration(wait) + timeout, [this](const Result<HttpMessage> &response) {
+        recordStoreBytes(response);
         if (isNewEra(response)) {
           NeedsList = true;
           list("");
@@ -211,6 +221,8 @@
 
 void StoreSync::onWatcherUpdate(const std::string &address,
                                 const Result<HttpMessage> &response) {
+  if (response && OnUpdateSize)
+    OnUpdateSize(address, response.value().Body.size());
   auto update =
       response && response.value().Status == 200
           ? readMirrorUpdate(response.value().Body)
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -45,6 +45,13 @@
   using EraCallback = std::function<void(StoreEra)>;
   void reportEras(EraCallback report) { OnEra = std::move(report); }
 
+  /// Receives the address of the followed VM and the size of each update.
+  using UpdateSizeCallback =
+      std::function<void(const std::string &, std::size_t)>;
+  void reportUpdateSizes(UpdateSizeCallback report) {
+    OnUpdateSize = std::move(report);
+  }
+
   /// Lists the documents again, without waiting for the call in progress, if
   /// the mirror is of an older era, until a list of that era succeeds.
   void enterEra(StoreEra era);
@@ -91,6 +98,7 @@
   ChangeCallback OnChanged;
   ContactCallback OnContact;
   EraCallback OnEra;
+  UpdateSizeCallback OnUpdateSize;
   platform::StorePage PendingList;
   /// The documents must be listed before changes can be watched.
   bool NeedsList = true;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -163,15 +163,17 @@
                                       {"zone", Settings.Zone.Value},
                                       {"address", Settings.CallerAddress}});
   StoreAnsweredAt = monoNow();
-  for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
+  for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync}) {
     it->reportEras([this](StoreEra era) { onStoreEra(era); });
+    it->reportUpdateSizes([this](const std::string &vm, std::size_t n) {
+      if (isInOtherZone(State.Fleet, vm))
+        recordZoneTraffic(ZoneTraffic::Documents, n);
+    });
+    it->follow([this] { return preferredWatchers(); });
+    it->start();
+  }
   Registration.reportEras([this](StoreEra era) { onStoreEra(era); });
-  OperatorSync.start();
-  TargetSync.start();
-  SystemSync.start();
   Registration.start();
-  for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
-    it->follow([this] { return preferredWatchers(); });
   waitForSignal();
   TickedAt = monoNow();
   tick();
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -72,6 +72,7 @@
   VmEntry peerWithNewerConfig(MonoTime now) const;
   void fetchDocuments(const std::string &peer, bool fetchTargets);
   void fetchConfig(const std::string &peer);
+  void recordCatchUp(const Result<HttpMessage> &response) const;
   void adoptFromPeer(const std::string &peer, const std::string &prefix,
                      const Result<HttpMessage> &response);
   void waitForSignal();
@@ -99,6 +100,8 @@
   VmRegistration Registration;
   std::unique_ptr<HttpChannel> PeerChannel;
   bool PeerFetchPending = false;
+  /// The VM from which documents are fetched is in another zone.
+  bool PeerLeavesZone = false;
   MonoTime PeerFetchStartedAt{};
   asio::steady_timer Ticker;
   asio::signal_set Signals;
--- a/src/savoryvm/vm_peer_fetch.cpp
+++ b/src/savoryvm/vm_peer_fetch.cpp
@@ -65,6 +65,7 @@
     return;
   PeerFetchPending = true;
   PeerFetchStartedAt = now;
+  PeerLeavesZone = chosen.Zone != State.Fleet.Self.Zone;
   PeerChannel =
       std::make_unique<HttpChannel>(Io.get_executor(), chosen.PeerAddress);
   if (config)
@@ -73,11 +74,17 @@
     fetchDocuments(chosen.Vm.Value, storeSilent);
 }
 
+void VmDaemon::recordCatchUp(const Result<HttpMessage> &response) const {
+  if (response && PeerLeavesZone)
+    recordZoneTraffic(ZoneTraffic::CatchUp, response.value().Body.size());
+}
+
 void VmDaemon::fetchConfig(const std::string &peer) {
   PeerChannel->call(
       getRequest("/config"), PeerFetchTimeout,
       [this, peer](const Result<HttpMessage> &response) {
         PeerFetchPending = false;
+        recordCatchUp(response);
         if (!response || response.value().Status != 200) {
           incrementCounter(
               "peer_documents_failed"); // A later round fetches it again.
@@ -108,6 +115,7 @@
 
 void VmDaemon::adoptFromPeer(const std::string &peer, const std::string &prefix,
                              const Result<HttpMessage> &response) {
+  recordCatchUp(response);
   if (!response || response.value().Status != 200) {
     incrementCounter(
         "peer_documents_failed"); // A later round fetches them again.
--- a/src/savoryvm/vm_registration.cpp
+++ b/src/savoryvm/vm_registration.cpp
@@ -40,6 +40,7 @@
     return;
   Busy = true;
   if (Stopping) {
+    recordStoreCall(StoreCall::Lease);
     Channel.call(platform::revokeLeaseRequest(Lease), CallTimeout,
                  [](const Result<HttpMessage> &) {
                    // The lease expires by itself if the call is lost.
@@ -91,6 +92,7 @@
 }
 
 void VmRegistration::acquireLease() {
+  recordStoreCall(StoreCall::Lease);
   Channel.call(platform::grantLeaseRequest(LeaseTtl), CallTimeout,
                [this](const Result<HttpMessage> &response) {
                  noteEra(response);
@@ -112,6 +114,7 @@
   put.Key = Key;
   put.Value = Value;
   put.Lease = Lease;
+  recordStoreCall(StoreCall::Write);
   Channel.call(platform::putRequest(put), CallTimeout,
                [this, lease = Lease](const Result<HttpMessage> &response) {
                  noteEra(response);
@@ -127,6 +130,7 @@
 }
 
 void VmRegistration::renewLease() {
+  recordStoreCall(StoreCall::Renewal);
   Channel.call(platform::renewLeaseRequest(Lease), CallTimeout,
                [this, id = Lease](const Result<HttpMessage> &response) {
                  noteEra(response);
@@ -149,6 +153,7 @@
 void VmRegistration::writeNextDocument() {
   platform::StorePut put = PendingWrites.front();
   PendingWrites.pop_front();
+  recordStoreCall(StoreCall::Write);
   Channel.call(platform::putRequest(put), CallTimeout,
                [this, put](const Result<HttpMessage> &response) {
                  noteEra(response);
