--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -42,9 +42,9 @@
 constexpr Duration StoreUnreachableAfter = Millis(3200);
 /// Largest response of a target.
 constexpr std::int64_t MaxResponseBytes = 32 << 20;
-/// Limits of the messages that are held at one time: the responses of all targets
-/// until callers have received them, and the requests of all callers. The
-/// smallest VMs have 160 MB; a request may have 64 MB.
+/// Limits of the messages that are held at one time: the responses of all
+/// targets until callers have received them, and the requests of all callers.
+/// The smallest VMs have 160 MB; a request may have 64 MB.
 constexpr std::int64_t ResponseBudgetBytes = 40 << 20;
 constexpr std::int64_t RequestBudgetBytes = 72 << 20;
 /// Retry-After value of a response to a request whose body does not fit.
@@ -165,17 +165,19 @@
                                       {"zone", Settings.Zone.Value},
                                       {"address", Settings.CallerAddress}});
   StoreAnsweredAt = monoNow();
-  for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
+  for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync}) {
     it->reportEras(
         [this](StoreEra era, EraSource source) { onStoreEra(era, source); });
+    it->reportUpdateSizes([this](const std::string &vm, std::size_t n) {
+      if (isInOtherZone(State.Fleet, vm))
+        recordZoneTraffic(ZoneTraffic::Documents, n);
+    });
+    it->follow([this] { return preferredWatchers(); });
+    it->start();
+  }
   Registration.reportEras(
       [this](StoreEra era) { onStoreEra(era, EraSource::Store); });
-  OperatorSync.start();
-  TargetSync.start();
-  SystemSync.start();
   Registration.start();
-  for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync})
-    it->follow([this] { return preferredWatchers(); });
   waitForSignal();
   TickedAt = monoNow();
   tick();
--- a/src/savoryvm/vm_registration.cpp
+++ b/src/savoryvm/vm_registration.cpp
@@ -92,6 +92,7 @@
 }
 
 void VmRegistration::acquireLease() {
+  recordStoreCall(StoreCall::Lease);
   Channel.call(platform::grantLeaseRequest(LeaseTtl), CallTimeout,
                [this](const Result<HttpMessage> &response) {
                  noteEra(response);
@@ -115,6 +116,7 @@
   put.Lease = Lease;
   EntrySent = true;
   EntryPosition = StorePosition();
+  recordStoreCall(StoreCall::Write);
   Channel.call(platform::putRequest(put), CallTimeout,
                [this, lease = Lease](const Result<HttpMessage> &response) {
                  noteEra(response);
@@ -138,6 +140,7 @@
     findEntry();
     return;
   }
+  recordStoreCall(StoreCall::Write);
   Channel.call(platform::deleteRequest(Key, EntryPosition), CallTimeout,
                [this](const Result<HttpMessage> &response) {
                  if (!response)
@@ -151,6 +154,7 @@
 /// Removes the entry at the revision that the store shows, if it is this
 /// process's.
 void VmRegistration::findEntry() {
+  recordStoreCall(StoreCall::List);
   Channel.call(platform::listRequest(Key, ""), CallTimeout,
                [this](const Result<HttpMessage> &response) {
                  if (!response)
@@ -167,6 +171,7 @@
 }
 
 void VmRegistration::renewLease() {
+  recordStoreCall(StoreCall::Renewal);
   Channel.call(platform::renewLeaseRequest(Lease), CallTimeout,
                [this, id = Lease](const Result<HttpMessage> &response) {
                  noteEra(response);
@@ -189,6 +194,7 @@
 void VmRegistration::writeNextDocument() {
   platform::StorePut put = PendingWrites.front();
   PendingWrites.pop_front();
+  recordStoreCall(StoreCall::Write);
   Channel.call(platform::putRequest(put), CallTimeout,
                [this, put](const Result<HttpMessage> &response) {
                  noteEra(response);
