Fix the share of a team's limit on each side of a network partition

While one availability zone was cut off and a team sent eight times its usual requests, the VMs of both sides together admitted more than the team's limit: the operator sees a team above its quota for a window of 5 s.

Cause: the parts of the two sides were computed after contact was lost. - VMs that were cut off chose an owner for the team's ledger among themselves. Its ledger began with 0.6 of the burst and the full rate, because it knew no silent VMs. - On the other side, the rate of silent VMs was reserved in proportion to their last demand, so a flood that began later took it. - A received fraction of 1 was used for 1.3 s without any limit, and a VM's own bucket was a second copy of its part of the burst. - The share of a VM that had lost all others grew with the number of VMs that it believed gone.

Now the owner grants each VM, with each response to a report, a share of the limit and tokens for the time after contact is lost. The shares add up to one. The ledger takes a silent VM's share of the rate and of the tokens out of its own. A new ledger reserves the shares that other VMs said they hold, and begins at the level at which it holds a flooding team. A fraction older than 0.3 s also needs a token. Responses and reports carry the shares in new members, which earlier builds ignore.

Not run: savoryvmd_test, which was only built; its messages between VMs have changed tests in peer_codec_test and hostile_documents_test.

--- a/src/libsavorysteer/fleet_view.h
+++ b/src/libsavorysteer/fleet_view.h
@@ -34,6 +34,8 @@
   std::int64_t ConfigVersion = 0;
   /// Requests per second of each team that arrive at the VM.
   std::map<TeamId, double> Demand;
+  /// Shares of teams' limits that the VM holds.
+  std::map<TeamId, double> Shares;
   /// Progress of one rollout as observed by the VM.
   struct Rollout {
     /// Revision of the rollout order.
--- a/src/libsavorysteer/request_admission.cpp
+++ b/src/libsavorysteer/request_admission.cpp
@@ -29,6 +29,17 @@
   return best->Service;
 }
 
+/// \returns this VM's share of a team's limit.
+double heldShare(const SteeringState &state, const TeamId &team, MonoTime now) {
+  double granted = state.Throttles.at(team).Share;
+  if (granted > 0)
+    return granted;
+  double own = state.LocalTeamLimits.at(team).DemandPerSecond;
+  double all = own + peerDemand(state.Fleet, team, now);
+  int vms = static_cast<int>(liveVms(state.Fleet, now).size());
+  return shareOfLimit(own, all, vms);
+}
+
 } // namespace
 
 Admission admitRequest(SteeringState &state, SteeredRequest &request,
@@ -62,15 +73,14 @@
   TeamThrottle &throttle = state.Throttles[request.Team];
   throttle.LastArrivalAt = now;
   throttle.Unreported.Arrivals += 1;
-  double own = limit.DemandPerSecond;
-  double all = own + peerDemand(state.Fleet, request.Team, now);
-  int vms = static_cast<int>(liveVms(state.Fleet, now).size());
-  double share = shareOfLimit(own, all, vms);
+  double share = heldShare(state, request.Team, now);
   // The VM's own bucket is kept up to date also while the ledger decides. It
   // takes over when the ledger's owner is unreachable.
   bool hadToken = takeTeamToken(limit, rate, team->second.Burst, share, now);
-  bool admitted =
-      fractionValid(throttle, now) ? admitByFraction(throttle) : hadToken;
+  bool admitted = hadToken;
+  if (fractionValid(throttle, now))
+    admitted =
+        admitByFraction(throttle) && (hadToken || fractionFresh(throttle, now));
   if (admitted) {
     throttle.Unreported.Admitted += 1;
     return {};
--- a/src/libsavorysteer/steering_reports.cpp
+++ b/src/libsavorysteer/steering_reports.cpp
@@ -5,6 +5,36 @@
 #include <algorithm>
 
 namespace savorylb {
+namespace {
+
+/// Interval at which the shares that other VMs hold are read from their
+/// reports.
+constexpr Duration ShareNoteInterval = Millis(100);
+
+double valueOr0(const std::map<TeamId, double> &values, const TeamId &team) {
+  auto it = values.find(team);
+  return it == values.end() ? 0 : it->second;
+}
+
+/// Updates a ledger by the shares that other VMs say they hold.
+void noteHeldShares(SteeringState &state, const TeamId &team,
+                    TeamLedger &ledger, MonoTime now) {
+  // A VM that is cut off from the store may be on the smaller side of a network
+  // partition, where the others' shares are in use elsewhere.
+  ledger.ReclaimsShares = state.Fleet.StoreReachable;
+  if (now - ledger.SharesNotedAt < ShareNoteInterval)
+    return;
+  ledger.SharesNotedAt = now;
+  for (const auto &[vm, peer] : state.Fleet.Peers) {
+    if (peer.Report.Draining)
+      dropSilentVm(ledger, vm);
+    else
+      noteHeldShare(ledger, vm, valueOr0(peer.Report.Shares, team),
+                    valueOr0(peer.Report.Demand, team), peer.ReceivedAt);
+  }
+}
+
+} // namespace
 
 std::map<VmId, std::map<TeamId, TeamUsage>>
 takeTeamReports(SteeringState &state, MonoTime now) {
@@ -21,7 +51,7 @@
   }
   auto own = reports.find(state.Fleet.Self.Vm);
   if (own != reports.end()) {
-    applyTeamFractions(
+    applyTeamGrants(
         state, applyTeamReport(state, state.Fleet.Self.Vm, own->second, now),
         now);
     reports.erase(own);
@@ -29,12 +59,12 @@
   return reports;
 }
 
-std::map<TeamId, double>
+std::map<TeamId, TeamGrant>
 applyTeamReport(SteeringState &state, const VmId &vm,
                 const std::map<TeamId, TeamUsage> &usages, MonoTime now) {
-  std::map<TeamId, double> fractions;
+  std::map<TeamId, TeamGrant> grants;
   if (!state.Config)
-    return fractions;
+    return grants;
   for (const auto &[team, usage] : usages) {
     auto rule = state.Config->Teams.find(team);
     if (rule == state.Config->Teams.end() ||
@@ -42,20 +72,25 @@
       continue;
     TeamRate rate{rule->second.RequestsPerSecond, rule->second.Burst};
     TeamLedger &ledger = state.Ledgers[team];
+    noteHeldShares(state, team, ledger, now);
     recordTeamUsage(ledger, vm, usage, rate, now);
-    fractions[team] = admittedFraction(ledger, rate, now);
+    grants[team] = grantFor(ledger, vm, rate, now);
   }
-  return fractions;
+  return grants;
 }
 
-void applyTeamFractions(SteeringState &state,
-                        const std::map<TeamId, double> &fractions,
-                        MonoTime now) {
-  for (const auto &[team, fraction] : fractions) {
+void applyTeamGrants(SteeringState &state,
+                     const std::map<TeamId, TeamGrant> &grants, MonoTime now) {
+  for (const auto &[team, grant] : grants) {
     TeamThrottle &throttle = state.Throttles[team];
-    throttle.Fraction = fraction;
+    throttle.Fraction = grant.Fraction;
     throttle.FractionReceived = true;
     throttle.ReceivedAt = now;
+    // VMs of earlier builds grant no share.
+    if (grant.Share <= 0)
+      continue;
+    throttle.Share = grant.Share;
+    setTeamTokens(state.LocalTeamLimits[team], grant.Tokens, now);
   }
 }
 
@@ -72,6 +107,13 @@
     if (limit.DemandPerSecond > 0.05)
       report.Demand[id] = limit.DemandPerSecond;
   }
+  for (const auto &[id, throttle] : state.Throttles)
+    if (throttle.Share > 0 && now - throttle.LastArrivalAt < ReportAfterArrival)
+      report.Shares[id] = throttle.Share;
+  if (state.Fleet.StoreReachable)
+    for (auto &[vm, peer] : state.Fleet.Peers)
+      if (now - peer.ReceivedAt > SilentReserveTime)
+        peer.Report.Shares.clear();
   for (const auto &[id, service] : state.Services)
     if (rolloutRuns(service))
       report.Rollouts[id] = {service.Order->OrderRevision,
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -134,15 +134,14 @@
 takeTeamReports(SteeringState &state, MonoTime now);
 
 /// Applies the report of a VM to the ledgers of this VM.
-/// \returns the fraction of each team's requests that the VM may admit.
-std::map<TeamId, double>
+/// \returns what the VM may admit of each team's requests.
+std::map<TeamId, TeamGrant>
 applyTeamReport(SteeringState &state, const VmId &vm,
                 const std::map<TeamId, TeamUsage> &usages, MonoTime now);
 
 /// Applies the response to a report.
-void applyTeamFractions(SteeringState &state,
-                        const std::map<TeamId, double> &fractions,
-                        MonoTime now);
+void applyTeamGrants(SteeringState &state,
+                     const std::map<TeamId, TeamGrant> &grants, MonoTime now);
 
 /// Decides by configuration, tenant key and team limit whether a request is
 /// admitted.
--- a/src/libsavorysteer/team_ledger.cpp
+++ b/src/libsavorysteer/team_ledger.cpp
@@ -1,6 +1,7 @@
 #include "team_ledger.h"
 
 #include "savorylb/hash.h"
+#include "team_limit.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,79 +16,156 @@
 /// of the burst, and the time in which it returns to that level.
 constexpr double HeldFraction = 0.2;
 constexpr double SettleSeconds = 1;
-/// Tokens of a new ledger as a fraction of the burst. The previous owner has
-/// stopped, and how much of the burst was used is not known.
-constexpr double InitialLevelFraction = 0.6;
-/// Time constant of a VM's smoothed arrival rate.
+/// Time constants of a VM's smoothed arrival rates.
 constexpr double RateTimeConstantSeconds = 0.4;
+constexpr double MeanTimeConstantSeconds = 2;
 
 double seconds(Duration span) {
   return std::max<double>(0, static_cast<double>(span.count())) / 1e6;
 }
 
-/// Arrivals per second at the VMs that report, and at those that are silent.
+/// The VMs that report, and the share that is not reserved for silent ones.
 struct Demand {
-  double Reporting = 0;
-  double Silent = 0;
+  double PerSecond = 0;
+  double MeanPerSecond = 0;
+  int Vms = 0;
+  double FreeShare = 1;
 };
 
-Demand demandOf(TeamLedger &ledger, MonoTime now) {
+Demand demandOf(const TeamLedger &ledger) {
   Demand demand;
+  for (const auto &[vm, it] : ledger.Reporters) {
+    if (it.Silent) {
+      demand.FreeShare -= it.Share;
+      continue;
+    }
+    demand.PerSecond += it.PerSecond;
+    demand.MeanPerSecond += it.MeanPerSecond;
+    ++demand.Vms;
+  }
+  demand.FreeShare = std::max(0.0, demand.FreeShare);
+  return demand;
+}
+
+/// Takes from the ledger what VMs that have become silent can use.
+void updateSilence(TeamLedger &ledger, const TeamRate &rate, MonoTime now) {
   for (auto it = ledger.Reporters.begin(); it != ledger.Reporters.end();) {
-    Duration age = now - it->second.At;
-    if (age > SilentReserveTime) {
+    TeamLedger::Reporter &reporter = it->second;
+    Duration age = now - reporter.At;
+    if (age > SilentReserveTime && ledger.ReclaimsShares) {
       it = ledger.Reporters.erase(it);
       continue;
     }
-    (age > SilentAfter ? demand.Silent : demand.Reporting) +=
-        it->second.PerSecond;
+    if (age > SilentAfter && !reporter.Silent) {
+      reporter.Silent = true;
+      double level =
+          std::max(0.0, reporter.Level) + rate.PerSecond * seconds(age);
+      ledger.Level -= reporter.Share * std::min(level, rate.Burst);
+    }
     ++it;
   }
-  return demand;
 }
 
-double availableRate(const Demand &demand, const TeamRate &rate) {
-  double all = demand.Reporting + demand.Silent;
-  return all > 0 ? rate.PerSecond * demand.Reporting / all : rate.PerSecond;
+/// Brings the ledger up to date.
+Demand refill(TeamLedger &ledger, const TeamRate &rate, MonoTime now) {
+  Duration span = ledger.Started ? now - ledger.RefilledAt : Duration::zero();
+  ledger.Level += rate.PerSecond * demandOf(ledger).FreeShare * seconds(span);
+  ledger.RefilledAt = now;
+  updateSilence(ledger, rate, now);
+  Demand demand = demandOf(ledger);
+  ledger.Level = std::min(ledger.Level, rate.Burst * demand.FreeShare);
+  return demand;
 }
 
-void refill(TeamLedger &ledger, const TeamRate &rate, double perSecond,
-            MonoTime now) {
-  if (!ledger.Started) {
-    ledger.Started = true;
-    ledger.Level = InitialLevelFraction * rate.Burst;
-  } else {
-    ledger.Level += perSecond * seconds(now - ledger.RefilledAt);
-  }
-  ledger.RefilledAt = now;
-  ledger.Level = std::min(ledger.Level, rate.Burst);
+double smoothed(double old, double sample, double span, double timeConstant) {
+  double keep = std::exp(-span / timeConstant);
+  return keep * old + (1 - keep) * sample;
 }
 
 } // namespace
 
 void recordTeamUsage(TeamLedger &ledger, const VmId &vm, const TeamUsage &usage,
                      const TeamRate &rate, MonoTime now) {
-  refill(ledger, rate, availableRate(demandOf(ledger, now), rate), now);
+  Demand demand = refill(ledger, rate, now);
+  // VMs may have reported to another ledger meanwhile, and what they took from
+  // it is not known.
+  if (!ledger.Started || now - ledger.ReportedAt > SilentAfter) {
+    double held = HeldFraction * rate.Burst * demand.FreeShare;
+    ledger.Level = ledger.Started ? std::min(ledger.Level, held) : held;
+    ledger.Started = true;
+  }
+  ledger.ReportedAt = now;
   ledger.Level -= usage.Admitted;
   TeamLedger::Reporter &reporter = ledger.Reporters[vm];
   // At least 20 ms, because a rate over a span of 0 is undefined.
   double span = std::max(0.02, seconds(usage.Span));
-  double keep = std::exp(-span / RateTimeConstantSeconds);
+  double sample = usage.Arrivals / span;
   reporter.PerSecond =
-      keep * reporter.PerSecond + (1 - keep) * usage.Arrivals / span;
+      smoothed(reporter.PerSecond, sample, span, RateTimeConstantSeconds);
+  reporter.MeanPerSecond =
+      smoothed(reporter.MeanPerSecond, sample, span, MeanTimeConstantSeconds);
+  reporter.Silent = false;
   reporter.At = now;
+  demand = demandOf(ledger);
+  reporter.Share =
+      demand.FreeShare *
+      shareOfLimit(reporter.MeanPerSecond, demand.MeanPerSecond, demand.Vms);
+  reporter.Level = ledger.Level;
 }
 
 double admittedFraction(TeamLedger &ledger, const TeamRate &rate,
                         MonoTime now) {
-  Demand demand = demandOf(ledger, now);
-  double available = availableRate(demand, rate);
-  refill(ledger, rate, available, now);
-  if (ledger.Level > ThrottleThreshold * rate.Burst || demand.Reporting <= 0)
+  Demand demand = refill(ledger, rate, now);
+  double burst = rate.Burst * demand.FreeShare;
+  if (ledger.Level > ThrottleThreshold * burst || demand.PerSecond <= 0)
     return 1;
-  double wanted =
-      available + (ledger.Level - HeldFraction * rate.Burst) / SettleSeconds;
-  return std::clamp(wanted / demand.Reporting, 0.0, 1.0);
+  double wanted = rate.PerSecond * demand.FreeShare +
+                  (ledger.Level - HeldFraction * burst) / SettleSeconds;
+  return std::clamp(wanted / demand.PerSecond, 0.0, 1.0);
+}
+
+TeamGrant grantFor(TeamLedger &ledger, const VmId &vm, const TeamRate &rate,
+                   MonoTime now) {
+  TeamGrant grant;
+  grant.Fraction = admittedFraction(ledger, rate, now);
+  auto it = ledger.Reporters.find(vm);
+  if (it != ledger.Reporters.end())
+    grant.Share = it->second.Share;
+  grant.Tokens = std::max(0.0, ledger.Level) * grant.Share;
+  if (grant.Fraction >= 1)
+    grant.Tokens = std::max(grant.Tokens, MinCapacity);
+  return grant;
+}
+
+void noteHeldShare(TeamLedger &ledger, const VmId &vm, double share,
+                   double perSecond, MonoTime at) {
+  auto it = ledger.Reporters.find(vm);
+  if (it == ledger.Reporters.end()) {
+    if (share <= 0)
+      return;
+    it = ledger.Reporters.try_emplace(vm).first;
+    it->second.Silent = true;
+    it->second.PerSecond = it->second.MeanPerSecond = perSecond;
+  } else if (!it->second.Silent || at <= it->second.At) {
+    return;
+  }
+  if (share <= 0) {
+    ledger.Reporters.erase(it);
+    return;
+  }
+  it->second.Share = share;
+  it->second.At = at;
+}
+
+void dropSilentVm(TeamLedger &ledger, const VmId &vm) {
+  auto it = ledger.Reporters.find(vm);
+  if (it != ledger.Reporters.end() && it->second.Silent)
+    ledger.Reporters.erase(it);
+}
+
+bool fractionFresh(const TeamThrottle &throttle, MonoTime now) {
+  return throttle.FractionReceived &&
+         now - throttle.ReceivedAt <= FractionFreshFor;
 }
 
 bool fractionValid(const TeamThrottle &throttle, MonoTime now) {
--- a/src/libsavorysteer/team_limit.cpp
+++ b/src/libsavorysteer/team_limit.cpp
@@ -54,6 +54,12 @@
   return true;
 }
 
+void setTeamTokens(TeamLimit &limit, double tokens, MonoTime now) {
+  limit.Started = true;
+  limit.Tokens = tokens;
+  limit.RefilledAt = now;
+}
+
 void returnTeamToken(TeamLimit &limit) { limit.Tokens += 1; }
 
 Duration teamTokenDelay(const TeamLimit &limit, double perSecond,
--- a/src/libsavorysteer/team_limit.h
+++ b/src/libsavorysteer/team_limit.h
@@ -29,7 +29,7 @@
 constexpr double InitialTokenFraction = 0.8;
 /// Minimum bucket size of a VM. With a smaller one, a VM with a small share
 /// would never admit a request.
-constexpr double MinCapacity = 1.5;
+constexpr double MinCapacity = 3;
 
 /// Counts one request, admitted or not.
 void countArrival(TeamLimit &limit);
@@ -53,6 +53,9 @@
 bool takeTeamToken(TeamLimit &limit, double perSecond, double burst,
                    double share, MonoTime now);
 
+/// Sets the tokens left.
+void setTeamTokens(TeamLimit &limit, double tokens, MonoTime now);
+
 /// Returns the token of a request that no target executed.
 void returnTeamToken(TeamLimit &limit);
 
--- a/src/savoryvm/hostile_documents_test.cpp
+++ b/src/savoryvm/hostile_documents_test.cpp
@@ -93,10 +93,15 @@
             .has_value(),
         it);
   auto parts = readTeamMessage(
-      R"({"team_message":"v","parts":{"a":1e30,"b":-1,"c":2,"d":"x"}})");
+      R"({"team_message":"v","parts":{"a":1e30,"b":-1,"c":2,"d":"x","e":1},
+"shares":{"b":-1,"c":2,"e":"x"},"tokens":{"b":-1,"c":1e30,"e":[]}})");
   CHECK_TRUE(parts.has_value());
-  for (const auto &[team, fraction] : parts.value().Fractions)
-    CHECK_TRUE(fraction >= 0 && fraction <= 1);
+  LONGS_EQUAL(3, parts.value().Grants.size());
+  for (const auto &[team, grant] : parts.value().Grants) {
+    CHECK_TRUE(grant.Fraction >= 0 && grant.Fraction <= 1);
+    CHECK_TRUE(grant.Share >= 0 && grant.Share <= 1);
+    CHECK_TRUE(grant.Tokens >= 0 && grant.Tokens <= 1e9);
+  }
   auto report = readPeerReport(
       R"({"vm":"v","callers":"127.0.0.1:80","peers":"127.0.0.1:81","demand":{"t":1e300,"u":-5},
 "rollouts":{"s":{"elapsed_ms":9223372036854775807,"routes":{"r":{"new":[9223372036854775807,-1,1]}}}}})");
--- a/src/savoryvm/peer_codec.cpp
+++ b/src/savoryvm/peer_codec.cpp
@@ -28,6 +28,14 @@
   return value.isInt64() && value.asInt64() >= 0 && value.asInt64() <= MaxCount;
 }
 
+/// \returns a member of an object; 0 if it is missing or not a rate.
+double rateMember(const Json::Value &object, const std::string &name) {
+  if (!object.isObject())
+    return 0;
+  const Json::Value &value = object[name];
+  return isRate(value) ? value.asDouble() : 0;
+}
+
 Json::Value entryValue(const VmEntry &entry) {
   Json::Value value;
   value["vm"] = entry.Vm.Value;
@@ -101,8 +109,11 @@
     row.append(usage.Admitted);
     row.append(static_cast<Json::Int64>(usage.Span.count()));
   }
-  for (const auto &[team, fraction] : message.Fractions)
-    value["parts"][team.Value] = std::round(fraction * 1000) / 1000;
+  for (const auto &[team, grant] : message.Grants) {
+    value["parts"][team.Value] = std::round(grant.Fraction * 1000) / 1000;
+    value["shares"][team.Value] = std::round(grant.Share * 1e5) / 1e5;
+    value["tokens"][team.Value] = std::round(grant.Tokens * 100) / 100;
+  }
   return writeJson(value);
 }
 
@@ -124,11 +135,18 @@
                                     Duration(row[2].asInt64())};
     }
   const Json::Value &fractions = member(*value, "parts");
+  const Json::Value &shares = member(*value, "shares");
+  const Json::Value &tokens = member(*value, "tokens");
   if (fractions.isObject())
-    for (const std::string &it : fractions.getMemberNames())
-      if (isRate(fractions[it]))
-        message.Fractions[TeamId(it)] =
-            std::clamp(fractions[it].asDouble(), 0.0, 1.0);
+    for (const std::string &it : fractions.getMemberNames()) {
+      if (!isRate(fractions[it]))
+        continue;
+      TeamGrant &grant = message.Grants[TeamId(it)];
+      grant.Fraction = std::clamp(fractions[it].asDouble(), 0.0, 1.0);
+      // VMs of earlier builds send neither shares nor tokens.
+      grant.Share = std::clamp(rateMember(shares, it), 0.0, 1.0);
+      grant.Tokens = std::max(0.0, rateMember(tokens, it));
+    }
   return message;
 }
 
@@ -141,6 +159,8 @@
   value["config"] = static_cast<Json::Int64>(report.ConfigVersion);
   for (const auto &[team, rate] : report.Demand)
     value["demand"][team.Value] = static_cast<int>(rate * 100) / 100.0;
+  for (const auto &[team, share] : report.Shares)
+    value["shares"][team.Value] = std::round(share * 1e5) / 1e5;
   for (const auto &[service, rollout] : report.Rollouts) {
     Json::Value &out = value["rollouts"][service.Value];
     out["ordered"] =
@@ -175,6 +195,10 @@
     for (const std::string &it : demand.getMemberNames())
       if (isRate(demand[it]))
         report.Demand[TeamId(it)] = std::max(0.0, demand[it].asDouble());
+  const Json::Value &shares = member(*value, "shares");
+  if (shares.isObject())
+    for (const std::string &it : shares.getMemberNames())
+      report.Shares[TeamId(it)] = std::clamp(rateMember(shares, it), 0.0, 1.0);
   const Json::Value &rollouts = member(*value, "rollouts");
   if (rollouts.isObject())
     for (const std::string &it : rollouts.getMemberNames()) {
--- a/src/savoryvm/peer_codec.h
+++ b/src/savoryvm/peer_codec.h
@@ -20,9 +20,8 @@
   VmId Vm;
   /// In a report: each team's usage at the sender.
   std::map<TeamId, TeamUsage> Usages;
-  /// In a response: fraction of each team's requests, 0 to 1, that the receiver
-  /// may admit.
-  std::map<TeamId, double> Fractions;
+  /// In a response: what the receiver may admit of each team's requests.
+  std::map<TeamId, TeamGrant> Grants;
 };
 
 /// Serializes a team message.
--- a/src/savoryvm/peer_codec_test.cpp
+++ b/src/savoryvm/peer_codec_test.cpp
@@ -16,6 +16,7 @@
   report.DocumentsRevision = {StoreEra(3), Revision(77)};
   report.ConfigVersion = 12;
   report.Demand[TeamId("port")] = 12.5;
+  report.Shares[TeamId("port")] = 0.125;
   report.Rollouts[ServiceId("tiles")] = {
       {StoreEra(2), Revision(70)},
       Millis(2500),
@@ -30,6 +31,7 @@
   LONGS_EQUAL(3, other.DocumentsRevision.Era.Value);
   LONGS_EQUAL(12, other.ConfigVersion);
   DOUBLES_EQUAL(12.5, other.Demand.at(TeamId("port")), 0.01);
+  DOUBLES_EQUAL(0.125, other.Shares.at(TeamId("port")), 0.001);
   const PeerReport::Rollout &rollout = other.Rollouts.at(ServiceId("tiles"));
   CHECK_TRUE(rollout.Bad);
   CHECK_TRUE(
@@ -64,9 +66,12 @@
   TeamMessage message;
   message.Vm = VmId("vm-1");
   message.Usages[TeamId("port")] = {7, 5, Millis(100)};
-  message.Fractions[TeamId("dock")] = 0.25;
+  message.Grants[TeamId("dock")] = {0.25, 0.125, 3.5};
   auto read = readTeamMessage(writeTeamMessage(message));
   CHECK_TRUE(read.has_value());
   DOUBLES_EQUAL(5, read.value().Usages.at(TeamId("port")).Admitted, 0.01);
-  DOUBLES_EQUAL(0.25, read.value().Fractions.at(TeamId("dock")), 0.001);
+  TeamGrant grant = read.value().Grants.at(TeamId("dock"));
+  DOUBLES_EQUAL(0.25, grant.Fraction, 0.001);
+  DOUBLES_EQUAL(0.125, grant.Share, 0.001);
+  DOUBLES_EQUAL(3.5, grant.Tokens, 0.01);
 }
--- a/src/savoryvm/peer_link.cpp
+++ b/src/savoryvm/peer_link.cpp
@@ -84,7 +84,7 @@
                                {},
                                applyTeamReport(State, message.value().Vm,
                                                message.value().Usages, now)}));
-    applyTeamFractions(State, message.value().Fractions, now);
+    applyTeamGrants(State, message.value().Grants, now);
     return;
   }
   auto report = readPeerReport(text);
