--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -123,7 +123,7 @@
     }
     // Avoids reallocation for bodies of usual size; larger ones grow on demand,
     // as no budget is charged with bytes that have not arrived.
-    constexpr std::uint64_t MaxReserveBytes = ByteReservation::UnchargedBytes;
+    constexpr std::uint64_t MaxReserveBytes = ByteReservation::SmallBytes;
     if (length)
       Message.Body.reserve(std::min(*length, MaxReserveBytes));
   }
