--- a/src/savoryvm/http_channel.cpp
+++ b/src/savoryvm/http_channel.cpp
@@ -3,9 +3,17 @@
 namespace savorylb {
 namespace {
 
-constexpr std::int64_t MaxResponseBytes = 16 << 20;
+constexpr std::int64_t MaxResponseBytes = 8 << 20;
+/// Limit of the responses that all channels of the process hold at one time. A
+/// VM has up to eight channels, and the smallest VMs have 160 MB.
+constexpr std::int64_t ResponseBudgetBytes = 10 << 20;
 constexpr Duration ConnectTimeout = Millis(600);
 
+const std::shared_ptr<ByteBudget> &responseBudget() {
+  static const auto budget = std::make_shared<ByteBudget>(ResponseBudgetBytes);
+  return budget;
+}
+
 } // namespace
 
 void HttpChannel::call(HttpMessage request, Duration timeout,
@@ -15,7 +23,8 @@
     transmit(request, timeout, done);
     return;
   }
-  Connection = std::make_shared<HttpConnection>(Io, MaxResponseBytes);
+  Connection =
+      std::make_shared<HttpConnection>(Io, MaxResponseBytes, responseBudget());
   auto connection = Connection;
   std::weak_ptr<void> lifetime = Lifetime;
   connection->connect(
