Bound the time and the bytes of reads from targets and stores

savorylbd read load and health reports of a target until they ended, and interim responses beyond the deadline. EndlessReportsFillTheMemory failed before.

--- a/src/libsavoryedge/silence_check.cpp
+++ b/src/libsavoryedge/silence_check.cpp
@@ -1,5 +1,6 @@
 #include "silence_check.h"
 
+#include "limited_socket.h"
 #include "savorylb/clock.h"
 
 #include <Poco/Exception.h>
@@ -25,6 +26,7 @@
     HTTPClientSession &session = *connection.Session;
     session.socket().setReceiveTimeout(
         Poco::Timespan(IdleProbeTimeout.count()));
+    setReadDeadline(session.socket(), start + IdleProbeTimeout);
     HTTPRequest request(HTTPRequest::HTTP_GET, "/health",
                         HTTPRequest::HTTP_1_1);
     request.setHost(address);
--- a/src/libsavoryedge/store_client_http.cpp
+++ b/src/libsavoryedge/store_client_http.cpp
@@ -1,5 +1,7 @@
 #include "savorylb/store_client_http.h"
 
+#include "limited_socket.h"
+#include "savorylb/clock.h"
 #include "url.h"
 
 #include <Poco/Base64Decoder.h>
@@ -20,6 +22,8 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
+constexpr std::int64_t MaxResponseBytes = 64 << 20;
+
 struct StoreEndpoint {
   UrlParts Url;
   Duration Timeout;
@@ -47,10 +51,12 @@
                                 const std::string &body, Duration wait) {
   bool mayHaveTakenEffect = false;
   try {
-    HTTPClientSession session(endpoint.Url.Host, endpoint.Url.Port);
-    session.setTimeout(Poco::Timespan(endpoint.Timeout.count()),
-                       Poco::Timespan(endpoint.Timeout.count()),
-                       Poco::Timespan((endpoint.Timeout + wait).count()));
+    HTTPClientSession session(
+        connectLimited(endpoint.Url.Host, endpoint.Url.Port, endpoint.Timeout,
+                       MaxResponseBytes));
+    Poco::Timespan limit((endpoint.Timeout + wait).count());
+    session.socket().setReceiveTimeout(limit);
+    setReadDeadline(session.socket(), monoNow() + endpoint.Timeout + wait);
     session.setKeepAlive(false);
     HTTPRequest request(method, path, HTTPRequest::HTTP_1_1);
     request.setContentLength(static_cast<std::streamsize>(body.size()));
--- a/src/libsavoryedge/target_client_http.cpp
+++ b/src/libsavoryedge/target_client_http.cpp
@@ -1,6 +1,7 @@
 #include "savorylb/target_client_http.h"
 
 #include "connection_pool.h"
+#include "limited_socket.h"
 #include "response_reader.h"
 #include "savorylb/clock.h"
 #include "silence_check.h"
@@ -48,6 +49,7 @@
   // The timeouts of the session do not apply to a socket that is already open.
   attempt.Session->socket().setSendTimeout(left);
   attempt.Session->socket().setReceiveTimeout(left);
+  setReadDeadline(attempt.Session->socket(), attempt.Deadline);
 }
 
 /// Takes an idle connection from the pool or opens a new one.
@@ -70,7 +72,7 @@
       std::make_unique<HTTPClientSession>(target.Host, target.Port);
   Duration limit = std::min(MaxConnectTime, remaining(attempt));
   try {
-    Poco::Net::StreamSocket socket;
+    Poco::Net::StreamSocket socket(new LimitedSocketImpl);
     socket.connect(Poco::Net::SocketAddress(target.Host, target.Port),
                    Poco::Timespan(limit.count()));
     socket.setNoDelay(true);
--- a/src/libsavoryedge/target_client_test.cpp
+++ b/src/libsavoryedge/target_client_test.cpp
@@ -1,3 +1,4 @@
+#include "savorylb/clock.h"
 #include "savorylb/target_client_http.h"
 #include "scripted_server.h"
 
@@ -10,6 +11,63 @@
 
 namespace {
 
+/// Sends bytes and then repeats others until its client closes the connection,
+/// but at most for 3 s.
+struct EndlessServer {
+  Poco::Net::ServerSocket Socket{Poco::Net::SocketAddress("127.0.0.1", 0)};
+  std::int64_t Sent = 0;
+  std::thread Thread;
+
+  EndlessServer(const std::string &start, const std::string &endless)
+      : Thread([this, start, endless] { run(start, endless); }) {}
+
+  std::string address() const { return Socket.address().toString(); }
+
+  void run(const std::string &start, const std::string &endless) {
+    Poco::Net::StreamSocket socket = Socket.acceptConnection();
+    socket.setSendTimeout(Poco::Timespan(3, 0));
+    std::array<char, 4096> request{};
+    socket.receiveBytes(request.data(), request.size());
+    std::string block = start;
+    MonoTime end = monoNow() + Seconds(3);
+    try {
+      while (monoNow() < end) {
+        Sent += socket.sendBytes(block.data(), static_cast<int>(block.size()),
+                                 MSG_NOSIGNAL);
+        block = endless;
+        while (block.size() < 65'536)
+          block += endless;
+      }
+    } catch (const Poco::Exception &) {
+      // The client has closed the connection.
+    }
+  }
+};
+
+struct EndlessCase {
+  const char *Name;
+  std::string Start;
+  std::string Endless;
+};
+
+std::vector<EndlessCase> endlessCases() {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  return {{"status line", "HTTP/1.1 200 ", "x"},
+          {"header fields", ok, "A: b\r\n"},
+          {"one header field", ok + "A: ", "x"},
+          {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
+           "HTTP/1.1 100 Continue\r\n\r\n"},
+          {"body without a length", ok + "\r\n", "x"},
+          {"JSON without an end", ok + "\r\n{\"a\":\"", "x"},
+          {"chunks", chunked, "5\r\nhello\r\n"},
+          {"chunk extension", chunked + "5;", "x"},
+          {"trailer fields", chunked + "0\r\n", "T: x\r\n"}};
+}
+
+/// What the socket's buffers hold of bytes that are not read.
+constexpr std::int64_t MaxSocketBytes = 12 << 20;
+
 std::string extractNonce(const std::string &head) {
   std::string name = "X-Attempt-Nonce: ";
   std::size_t at = head.find(name) + name.size();
@@ -168,3 +226,38 @@
   CHECK(response.Outcome == TargetOutcome::Unknown);
   CHECK(response.Took < Millis(400));
 }
+
+// Guards against reading endless bytes of a target beyond the deadline.
+TEST(TargetClient, StopsReadingEndlessBytesAtDeadline) {
+  for (const EndlessCase &it : endlessCases()) {
+    EndlessServer server(it.Start, it.Endless);
+    TargetRequest request = requestTo(server.address());
+    request.Remaining = Millis(300);
+    TargetResponse response = makeHttpTargetClient().Send(request, {});
+    server.Thread.join();
+    CHECK_TRUE_TEXT(response.Outcome == TargetOutcome::Unknown, it.Name);
+    CHECK_TRUE_TEXT(response.Took < Millis(1000), it.Name);
+    CHECK_TRUE_TEXT(static_cast<std::int64_t>(response.Body.size()) <=
+                        MaxBufferedResponse + 65'536,
+                    it.Name);
+  }
+}
+
+// Guards against load and health reports without an end, which would be kept in
+// memory until the target stops.
+TEST(TargetClient, EndlessReportsFillTheMemory) {
+  for (const EndlessCase &it : endlessCases()) {
+    EndlessServer load(it.Start, it.Endless);
+    MonoTime start = monoNow();
+    CHECK_FALSE_TEXT(bool(makeHttpTargetClient().ReadLoad(load.address())),
+                     it.Name);
+    CHECK_TRUE_TEXT(monoNow() - start < Millis(1500), it.Name);
+    load.Thread.join();
+    CHECK_TRUE_TEXT(load.Sent < MaxSocketBytes, it.Name);
+    EndlessServer health(it.Start, it.Endless);
+    CHECK_FALSE_TEXT(bool(makeHttpTargetClient().ProbeHealth(health.address())),
+                     it.Name);
+    health.Thread.join();
+    CHECK_TRUE_TEXT(health.Sent < MaxSocketBytes, it.Name);
+  }
+}
--- a/src/libsavoryedge/target_probe.cpp
+++ b/src/libsavoryedge/target_probe.cpp
@@ -1,5 +1,6 @@
 #include "target_probe.h"
 
+#include "limited_socket.h"
 #include "savorylb/clock.h"
 #include "url.h"
 
@@ -12,13 +13,15 @@
 namespace {
 
 constexpr Duration ProbeTimeout = Millis(800);
+/// Reports have less than 1 KB.
+constexpr std::int64_t MaxReportBytes = 65'536;
 
 Result<Json::Value> getJson(const std::string &address,
                             const std::string &path) {
   try {
     UrlParts target = splitUrl(address);
-    Poco::Net::HTTPClientSession session(target.Host, target.Port);
-    session.setTimeout(Poco::Timespan(ProbeTimeout.count()));
+    Poco::Net::HTTPClientSession session(
+        connectLimited(target.Host, target.Port, ProbeTimeout, MaxReportBytes));
     session.setKeepAlive(false);
     Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path,
                                    Poco::Net::HTTPRequest::HTTP_1_1);
--- a/src/libsavoryedge/vm_list_client_http.cpp
+++ b/src/libsavoryedge/vm_list_client_http.cpp
@@ -1,5 +1,6 @@
 #include "savorylb/vm_list_client_http.h"
 
+#include "limited_socket.h"
 #include "url.h"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -10,6 +11,8 @@
 namespace savorylb {
 namespace {
 
+constexpr std::int64_t MaxListBytes = 4 << 20;
+
 Result<VmListing> parseListing(std::istream &in) {
   Json::CharReaderBuilder builder;
   Json::Value root;
@@ -36,8 +39,8 @@
 
 Result<VmListing> readListing(const UrlParts &url, Duration timeout) {
   try {
-    Poco::Net::HTTPClientSession session(url.Host, url.Port);
-    session.setTimeout(Poco::Timespan(timeout.count()));
+    Poco::Net::HTTPClientSession session(
+        connectLimited(url.Host, url.Port, timeout, MaxListBytes));
     session.setKeepAlive(false);
     Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, url.Path,
                                    Poco::Net::HTTPRequest::HTTP_1_1);
