--- a/src/libsavoryedge/target_client_test.cpp
+++ b/src/libsavoryedge/target_client_test.cpp
@@ -261,3 +261,25 @@
     CHECK_TRUE_TEXT(health.Sent < MaxSocketBytes, it.Name);
   }
 }
+
+// Guards against accepting a chunked body that stalls until the deadline as
+// complete.
+TEST(TargetClient, RejectsChunkedBodyThatStalls) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  std::atomic<bool> done{false};
+  std::thread target([&] {
+    Poco::Net::StreamSocket socket = server.acceptConnection();
+    std::string partial = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                          "\r\n4\r\nhalf\r\n";
+    socket.sendBytes(partial.data(), static_cast<int>(partial.size()));
+    for (int i = 0; i < 200 && !done; ++i)
+      std::this_thread::sleep_for(Millis(10));
+  });
+  TargetRequest request = requestTo(server.address().toString());
+  request.Remaining = Millis(150);
+  TargetResponse response = makeHttpTargetClient().Send(request, {});
+  done = true;
+  target.join();
+  CHECK(response.Outcome == TargetOutcome::Unknown);
+  CHECK(response.Took < Millis(400));
+}
