Do not take a chunked body that stalls for a complete one

savorylbd passed on a chunked response whose target fell silent in the middle, up to the deadline, as a complete success: the caller received half a body with a 2xx status.

Cause: a read that fails or is late throws in the stream's buffer, which the stream turns into its bad state; readBody() took the end of such a read for the end of the body where there is no length.

The bad state counts as truncated, or as a timeout at the deadline. RejectsChunkedBodyThatStalls failed before and passes now, with the other 20 tests of savoryedge_test.

--- a/src/libsavoryedge/response_reader.cpp
+++ b/src/libsavoryedge/response_reader.cpp
@@ -113,8 +113,10 @@
         !startStreaming(reader))
       return "caller-gone";
   }
+  // The stream turns a failed or late read into its bad state.
   bool truncated =
-      reader.Length >= 0 && reader.Response.BodyBytes < reader.Length;
+      reader.In.bad() ||
+      (reader.Length >= 0 && reader.Response.BodyBytes < reader.Length);
   if (truncated && monoNow() >= reader.Deadline)
     return "timeout";
   return truncated ? "truncated" : "";
