Report an exception of the stop itself and go on

A second exception, thrown while the first one was logged or while the planned stop began (for instance without memory), left the event loop and ended the process with all its requests. Found by review.

Both run inside the handler now, and the stop is begun again. Test: ExceptionInTheCallbackLeavesTheLoop; with the callback called outside the handler the exception leaves runEventLoop().

--- a/src/savoryvm/process_end.cpp
+++ b/src/savoryvm/process_end.cpp
@@ -18,6 +18,16 @@
   raise(signal);
 }
 
+void reportException(const std::exception &exception) {
+  try {
+    logEvent(EventCode::HandlerFailed,
+             {{"what", std::string(exception.what())}});
+    incrementCounter("handlers_failed");
+  } catch (const std::exception &) {
+    // No memory for the line; the planned stop that follows is logged.
+  }
+}
+
 } // namespace
 
 void reportFatalSignals() {
@@ -35,15 +45,19 @@
 
 void runEventLoop(boost::asio::io_context &io,
                   const std::function<void()> &onException) {
+  bool failed = false;
   while (true) {
     try {
+      // Inside, as it may throw too, for instance while memory is short.
+      if (failed)
+        onException();
+      failed = false;
       io.run();
       return;
     } catch (const std::exception &ec) {
-      logEvent(EventCode::HandlerFailed, {{"what", std::string(ec.what())}});
+      failed = true;
+      reportException(ec);
     }
-    incrementCounter("handlers_failed");
-    onException();
   }
 }
 
--- a/src/savoryvm/process_end_test.cpp
+++ b/src/savoryvm/process_end_test.cpp
@@ -2,6 +2,7 @@
 
 #include "savorylb/metrics.h"
 
+#include <new>
 #include <stdexcept>
 
 // Redefines operator new; must be included after the standard headers.
@@ -28,3 +29,18 @@
   LONGS_EQUAL(2, reported);
   LONGS_EQUAL(2, counterValue("handlers_failed") - before);
 }
+
+// Guards against an exception in the callback that ends all requests of a VM.
+TEST(ProcessEnd, ExceptionInTheCallbackLeavesTheLoop) {
+  boost::asio::io_context io;
+  int handled = 0;
+  int reported = 0;
+  boost::asio::post(io, [] { throw std::runtime_error("handler"); });
+  boost::asio::post(io, [&] { ++handled; });
+  runEventLoop(io, [&] {
+    if (++reported == 1)
+      throw std::bad_alloc();
+  });
+  LONGS_EQUAL(1, handled);
+  LONGS_EQUAL(2, reported);
+}
