--- a/src/libsavoryhttp/byte_budget_test.cpp
+++ b/src/libsavoryhttp/byte_budget_test.cpp
@@ -15,6 +15,7 @@
 std::vector<std::unique_ptr<ByteReservation>>
 makeMessages(const std::shared_ptr<ByteBudget> &budget, int n) {
   std::vector<std::unique_ptr<ByteReservation>> messages;
+  messages.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i)
     messages.push_back(std::make_unique<ByteReservation>(budget));
   return messages;
--- a/src/savorysoak/endless_bytes_test.cpp
+++ b/src/savorysoak/endless_bytes_test.cpp
@@ -66,7 +66,7 @@
       {"a part of a body, then silence",
        {{head + std::string(100'000, 'x'), ""},
         {head + std::string(3'000'000, 'x'), ""},
-        {Chunked + "f00000\r\n" + std::string(10'000'000, 'x'), ""}}},
+        {Chunked + "f00000\r\n" + repeat("x", 10'000'000), ""}}},
   };
 }
 
