--- a/src/libsavorysteer/steering_documents.cpp
+++ b/src/libsavorysteer/steering_documents.cpp
@@ -46,10 +46,9 @@
          status.StatusRevision.Number < known.StatusRevision.Number;
 }
 
-/// \returns whether the known changes of the order's key show that the store
-/// had
-///          no change at that revision before it came back from a copy. Over
-///          several eras this cannot be known.
+/// \returns whether the store had no change of the order's key at a revision
+///          before it came back from a copy, as far as the known changes show.
+///          Over several eras this cannot be known.
 bool isWrittenInNewEra(const ServiceState &service, StorePosition at) {
   const StoreSpan &span = service.OrderUnchanged;
   StoreEra era = service.Order->OrderRevision.Era;
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -216,8 +216,8 @@
 bool applyRolloutOrder(SteeringState &state, const RolloutOrder &order,
                        MonoTime now);
 /// Records a change of the key of a service's order; called before the change
-/// is applied. \param followed positions over which this VM has followed all
-/// changes of
+/// is applied.
+/// \param followed positions over which this VM has followed all changes of
 ///        operators' documents, up to the one before this change was seen.
 void noteOrderChange(SteeringState &state, const ServiceId &service,
                      StorePosition at, const StoreSpan &followed);
