Begin no watch before the other VMs are known

Cause, one of two: a VM lists operators' documents and targets at its start, and watches them at once. It does not know the other VMs before it has registered and listed them, so each VM watches the store instead of following one. Ruled out: lists (three a VM and the second one of VMs, as intended).

Change: operators' documents and targets are listed at once, as before, but watched only when the VMs have been listed after the registration, and at the latest 0.6 s after the start. That is the pause between two watches of targets, so the longest time until a change is known stays the same.

Tests: EachVmWatchesTheStore failed before; WatchBeginsBeforeTheOtherVmsAreKnown, DelayedWatchNeverBegins and WatchIsRepeatedWhenItsDelayEndsTwice test the new function.

--- a/src/savoryvm/common_start_test.cpp
+++ b/src/savoryvm/common_start_test.cpp
@@ -1,3 +1,4 @@
+#include "savorylb/metrics.h"
 #include "vm_fixture.h"
 
 using namespace savorylb;
@@ -10,6 +11,8 @@
 /// Time after the start within which a limit over all VMs is hardly exceeded,
 /// even if each VM takes itself for the only one.
 constexpr Duration DiscoveryLimit = Millis(500);
+/// Documents of operators, targets and VMs.
+constexpr int PrefixCount = 3;
 
 /// \returns whether a VM names all VMs in its answer to a lookup.
 bool namesAllVms(VmFixture &fixture, int vm) {
@@ -42,3 +45,18 @@
     CHECK_TRUE(fixture.waitUntil([&] { return namesAllVms(fixture, n); },
                                  end - monoNow()));
 }
+
+// Guards against VMs that start together and all watch the store until they
+// know which of them the others follow.
+TEST(CommonStart, EachVmWatchesTheStore) {
+  std::int64_t watches = counterValue("store_calls_watch");
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  for (int n = FirstVm; n < FirstVm + VmCount; ++n)
+    fixture.addVm(n);
+  fixture.runFor(DiscoveryLimit);
+  watches = counterValue("store_calls_watch") - watches;
+  // One VM watches all prefixes; each other VM at most one of them.
+  CHECK_TRUE(watches >= PrefixCount);
+  CHECK_TRUE(watches < PrefixCount + VmCount);
+}
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -98,7 +98,20 @@
   list("");
 }
 
+void StoreSync::beginWatches() {
+  MonoTime now = monoNow();
+  bool delayed = std::exchange(WatchesFrom, now) > now;
+  // Before the documents are listed, the list in progress or its repetition
+  // begins the watch.
+  if (delayed && isListed(Mirror) && !Listing && !NeedsList) {
+    ++StepGeneration;
+    Timer.cancel();
+    watch();
+  }
+}
+
 void StoreSync::listAgain(std::function<void()> listed) {
+  WatchesFrom = monoNow();
   OnListed = std::move(listed);
   restartList();
 }
@@ -183,6 +196,11 @@
     list("");
     return;
   }
+  Duration delay = WatchesFrom - monoNow();
+  if (!NeedsList && delay > Duration(0)) {
+    schedule(delay, [this] { watch(); });
+    return;
+  }
   std::string address = selectWatcher(
       Selection,
       PreferredWatchers ? PreferredWatchers() : std::vector<std::string>(),
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -71,7 +71,15 @@
   /// Lists the documents, then watches for changes.
   void start() { list(""); }
 
-  /// Lists the documents again, without waiting for the call in progress.
+  /// Begins no watch before a time, unless beginWatches() is called: once the
+  /// other VMs are known, this VM may follow one of them instead.
+  void delayWatches(MonoTime until) { WatchesFrom = until; }
+
+  /// Ends the delay of delayWatches().
+  void beginWatches();
+
+  /// Lists the documents again, without waiting for the call in progress or for
+  /// the time of delayWatches().
   /// \param listed called once after a list that began after this call.
   void listAgain(std::function<void()> listed);
 
@@ -128,6 +136,8 @@
   /// The highest era that was announced, and whether a list began after that.
   StoreEra AnnouncedEra;
   bool ListedSinceAnnounced = false;
+  /// The documents are listed, but not watched, before this time.
+  MonoTime WatchesFrom{};
   /// When the first page of the last list was requested.
   MonoTime ListSentAt{};
   /// Incremented to discard the step that the timer will run.
--- a/src/savoryvm/store_sync_test.cpp
+++ b/src/savoryvm/store_sync_test.cpp
@@ -30,7 +30,8 @@
   std::function<void()> OnSeen = [] {};
   std::unique_ptr<StoreSync> Sync;
 
-  SyncFixture() {
+  /// \param delay how long no watch begins.
+  explicit SyncFixture(Duration delay = Duration(0)) {
     CHECK_TRUE(Store.listen(Address));
     Store.put("op/a", "1");
     Sync = std::make_unique<StoreSync>(
@@ -44,6 +45,7 @@
         [](auto) {});
     Sync->reportEras(
         [this](StoreEra era, EraSource) { Era = std::max(Era, era); });
+    Sync->delayWatches(monoNow() + delay);
     Sync->start();
     CHECK_TRUE(waitUntil([&] { return Seen["op/a"] == "1"; }));
   }
@@ -156,3 +158,31 @@
   CHECK_TRUE(fixture.waitUntil([&] { return fixture.Seen["op/c"] == "3"; },
                                ConfigApply));
 }
+
+// Guards against VMs that all watch the store when they start, as they do not
+// know the VM yet that they will follow.
+TEST(StoreSync, WatchBeginsBeforeTheOtherVmsAreKnown) {
+  SyncFixture fixture(Millis(600));
+  fixture.runFor(Millis(300));
+  LONGS_EQUAL(1, fixture.Store.calls());
+  fixture.Sync->beginWatches();
+  fixture.runFor(Millis(100));
+  LONGS_EQUAL(2, fixture.Store.calls());
+}
+
+// Guards against a mirror that is never updated if the other VMs are not found.
+TEST(StoreSync, DelayedWatchNeverBegins) {
+  SyncFixture fixture(Millis(600));
+  fixture.Store.put("op/b", "2");
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Seen["op/b"] == "2"; },
+                               Millis(1000)));
+}
+
+// Guards against a second watch that begins beside the first one.
+TEST(StoreSync, WatchIsRepeatedWhenItsDelayEndsTwice) {
+  SyncFixture fixture(Millis(300));
+  fixture.Sync->beginWatches();
+  fixture.Sync->beginWatches();
+  fixture.runFor(Millis(600));
+  LONGS_EQUAL(2, fixture.Store.calls());
+}
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -37,6 +37,9 @@
 constexpr Duration TargetWatchPause = Millis(600);
 constexpr Millis SystemWatchWait(3000);
 constexpr Duration SystemWatchPause = Millis(1500);
+/// Longest time after the start in which no watch begins, as the other VMs are
+/// not known yet. Not longer than the pause between two watches of targets.
+constexpr Duration StartWatchDelay = TargetWatchPause;
 /// The store counts as unreachable after this time without a response. A failed
 /// call is logged only if no other call failed for this time before it.
 constexpr Duration StoreUnreachableAfter = Millis(3200);
@@ -188,6 +191,7 @@
     });
     it->shareContact(Contact);
     it->follow([this] { return preferredWatchers(); });
+    it->delayWatches(monoNow() + StartWatchDelay);
     it->start();
   }
   Registration.reportEras(
@@ -198,6 +202,8 @@
     SystemSync.listAgain([this] {
       State.Fleet.Complete = true;
       Link.announce();
+      OperatorSync.beginWatches();
+      TargetSync.beginWatches();
     });
   });
   Registration.shareContact(Contact);
