Send followers one compressed copy of an update

Change: a followed VM writes an update once for all followers that need the same documents, and compresses it for those that accept that, as VMs of this build do. Whether a follower has to be answered is told by the revision of the last change, without copying the documents.

Tests: DocumentsAreSentUncompressed failed before.

--- a/src/savoryvm/store_mirror.cpp
+++ b/src/savoryvm/store_mirror.cpp
@@ -1,5 +1,6 @@
 #include "store_mirror.h"
 
+#include "content_coding.h"
 #include "json_read.h"
 
 #include <algorithm>
@@ -24,6 +25,7 @@
     if (it.Removed && known == mirror.Items.end())
       continue;
     applied.push_back(it);
+    mirror.ChangedAt = std::max(mirror.ChangedAt, it.ModRevision);
     if (it.Removed) {
       mirror.Items.erase(known);
       mirror.Removals.push_back(it);
@@ -40,6 +42,10 @@
   return applied;
 }
 
+bool needsSnapshot(const StoreMirror &mirror, StorePosition after) {
+  return after < mirror.RemovalsSince || after.Era != mirror.KnownRevision.Era;
+}
+
 } // namespace
 
 std::vector<StoreItem> applyChanges(StoreMirror &mirror,
@@ -81,11 +87,32 @@
   return applied;
 }
 
+bool hasChangesSince(const StoreMirror &mirror, StorePosition after) {
+  return needsSnapshot(mirror, after) || mirror.ChangedAt > after;
+}
+
+std::optional<StorePosition> firstChangeSince(const StoreMirror &mirror,
+                                              StorePosition after) {
+  if (needsSnapshot(mirror, after))
+    return StorePosition();
+  if (!hasChangesSince(mirror, after))
+    return std::nullopt;
+  StorePosition first = mirror.ChangedAt;
+  auto consider = [&](const StoreItem &it) {
+    if (it.ModRevision > after)
+      first = std::min(first, it.ModRevision);
+  };
+  for (const auto &[key, item] : mirror.Items)
+    consider(item);
+  for (const StoreItem &it : mirror.Removals)
+    consider(it);
+  return first;
+}
+
 MirrorUpdate updateSince(const StoreMirror &mirror, StorePosition after) {
   MirrorUpdate update;
   update.Page.StoreRevision = mirror.KnownRevision;
-  update.Snapshot =
-      after < mirror.RemovalsSince || after.Era != mirror.KnownRevision.Era;
+  update.Snapshot = needsSnapshot(mirror, after);
   for (const auto &[key, item] : mirror.Items)
     if (update.Snapshot || item.ModRevision > after)
       update.Page.Items.push_back(item);
@@ -164,4 +191,11 @@
   return update;
 }
 
+Result<MirrorUpdate> readMirrorUpdate(const HttpMessage &response) {
+  auto body = readBody(response);
+  if (!body)
+    return failure(body.error().Code, body.error().Message);
+  return readMirrorUpdate(body.value());
+}
+
 } // namespace savorylb
--- a/src/savoryvm/store_mirror.h
+++ b/src/savoryvm/store_mirror.h
@@ -1,10 +1,12 @@
 #ifndef SAVORYLB_STORE_MIRROR_H
 #define SAVORYLB_STORE_MIRROR_H
 
+#include "http_message.h"
 #include "store_protocol.h"
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,8 @@
   std::map<std::string, platform::StoreItem> Items;
   /// Store revision up to which the copy is complete; 0 before the first list.
   StorePosition KnownRevision;
+  /// Revision of the latest change to a document.
+  StorePosition ChangedAt;
   /// The latest removals in the order in which they were seen. The list is
   /// complete for all revisions after RemovalsSince.
   std::deque<platform::StoreItem> Removals;
@@ -38,6 +42,15 @@
   Duration Age{0};
 };
 
+/// \returns whether updateSince() has more to tell than the mirror's revision.
+bool hasChangesSince(const StoreMirror &mirror, StorePosition after);
+
+/// Finds the first document that updateSince() returns. Updates since two
+/// positions with the same first change hold the same documents.
+/// \returns its revision; 0 for a snapshot, and nothing without changes.
+std::optional<StorePosition> firstChangeSince(const StoreMirror &mirror,
+                                              StorePosition after);
+
 /// Collects the changes of a mirror after a revision.
 /// \returns the changes; a snapshot when removals after that revision have
 ///          already been discarded, or when the revision is of another
@@ -55,6 +68,9 @@
 /// Parses an update.
 /// \returns the update, or Malformed.
 Result<MirrorUpdate> readMirrorUpdate(const std::string &text);
+/// Parses the update in a response, whose body may be compressed.
+/// \returns the update, or Malformed.
+Result<MirrorUpdate> readMirrorUpdate(const HttpMessage &response);
 
 /// Applies changes; those that are not newer than the mirror are ignored, as
 /// are changes of another era than the mirror's.
--- a/src/savoryvm/store_mirror_test.cpp
+++ b/src/savoryvm/store_mirror_test.cpp
@@ -86,6 +86,40 @@
   CHECK_TRUE(updateSince(mirror, at(6)).Snapshot);
 }
 
+// Guards against a follower that waits although there are changes, or is
+// answered without any.
+TEST(StoreMirror, FollowerWaitsForKnownChanges) {
+  StoreMirror mirror;
+  applySnapshot(mirror, page(5, {item("a", 4), item("b", 5)}));
+  CHECK_TRUE(hasChangesSince(mirror, at(4)));
+  CHECK_FALSE(hasChangesSince(mirror, at(5)));
+  applyChanges(mirror, page(9, {item("a", 7, true)}));
+  CHECK_TRUE(hasChangesSince(mirror, at(6)));
+  CHECK_FALSE(hasChangesSince(mirror, at(7)));
+  CHECK_FALSE(hasChangesSince(mirror, at(9)));
+  CHECK_TRUE(hasChangesSince(mirror, at(9, 1)));
+  applySnapshot(mirror, page(3, {item("b", 2, false, 1)}, 1));
+  CHECK_TRUE(hasChangesSince(mirror, at(9)));
+  CHECK_FALSE(hasChangesSince(mirror, at(3, 1)));
+}
+
+// Guards against sending one follower the changes that another one needs.
+TEST(StoreMirror, UpdatesOfOneFirstChangeDiffer) {
+  StoreMirror mirror;
+  applySnapshot(mirror, page(5, {item("a", 4), item("b", 5)}));
+  applyChanges(mirror, page(7, {item("a", 7, true)}));
+  applyChanges(mirror, page(12, {item("b", 9), item("c", 12)}));
+  CHECK_TRUE(firstChangeSince(mirror, at(4)) == StorePosition());
+  CHECK_FALSE(firstChangeSince(mirror, at(12)).has_value());
+  for (int a = 5; a < 12; ++a)
+    for (int b = a; b < 12; ++b) {
+      bool same =
+          firstChangeSince(mirror, at(a)) == firstChangeSince(mirror, at(b));
+      CHECK_EQUAL(same, writeMirrorUpdate(updateSince(mirror, at(a))) ==
+                            writeMirrorUpdate(updateSince(mirror, at(b))));
+    }
+}
+
 // Guards against comparing revisions of two eras by their numbers.
 TEST(StoreMirror, PositionsAreOrderedByEraFirst) {
   CHECK_TRUE(at(9, 1) < at(3, 2));
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -1,5 +1,6 @@
 #include "store_sync.h"
 
+#include "content_coding.h"
 #include "savorylb/clock.h"
 #include "savorylb/event_log.h"
 #include "savorylb/metrics.h"
@@ -263,6 +264,7 @@
   request.Method = "GET";
   request.Path =
       "/news/" + writePosition(Mirror.KnownRevision) + "/" + Mirror.Prefix;
+  acceptDeflate(request);
   WatcherChannel->call(request,
                        followTimeout(Selection, storeFails(), monoNow()),
                        [this, address](const Result<HttpMessage> &response) {
@@ -276,7 +278,7 @@
     OnUpdateSize(address, response.value().Body.size());
   auto update =
       response && response.value().Status == 200
-          ? readMirrorUpdate(response.value().Body)
+          ? readMirrorUpdate(response.value())
           : Result<MirrorUpdate>(failure(ErrorCode::Unavailable, "no update"));
   if (update)
     OnEra(update.value().Page.StoreRevision.Era, EraSource::OtherVm);
@@ -308,53 +310,68 @@
   schedule(WatchPause / 4, [this] { watch(); });
 }
 
-void StoreSync::respond(const std::shared_ptr<ServedRequest> &request,
-                        StorePosition after) {
+HttpMessage StoreSync::updateResponse(StorePosition after, bool deflate) const {
   MirrorUpdate update = updateSince(Mirror, after);
   update.Stale = tooOldToFollow();
   update.Age = mirrorAge();
-  request->Respond(jsonResponse(200, writeMirrorUpdate(update)));
+  HttpMessage response = jsonResponse(200, writeMirrorUpdate(update));
+  if (deflate)
+    deflateBody(response);
+  return response;
+}
+
+/// Responds with one copy of each update: a small VM cannot write the same
+/// documents for each of its followers within their timeout.
+void StoreSync::respond(const std::vector<Follower> &followers) const {
+  using Content = std::pair<std::optional<StorePosition>, bool>;
+  std::map<Content, HttpMessage> responses;
+  for (const Follower &it : followers) {
+    bool deflate = acceptsDeflate(it.Request->Message);
+    Content content(firstChangeSince(Mirror, it.After), deflate);
+    auto known = responses.find(content);
+    if (known == responses.end())
+      known =
+          responses.emplace(content, updateResponse(it.After, deflate)).first;
+    it.Request->Respond(known->second);
+  }
 }
 
 void StoreSync::serveFollower(const std::shared_ptr<ServedRequest> &request,
                               StorePosition after) {
   if (after.Era > Mirror.KnownRevision.Era)
     OnEra(after.Era, EraSource::OtherVm);
+  Follower follower{request, after, monoNow() + FollowerWait};
   if (tooOldToFollow() || hasNews(after))
-    respond(request, after);
+    respond({follower});
   else
-    Followers.push_back({request, after, monoNow() + FollowerWait});
+    Followers.push_back(std::move(follower));
 }
 
 bool StoreSync::hasNews(StorePosition after) const {
   // A follower of a newer era waits until this mirror has entered that era.
   if (after.Era > Mirror.KnownRevision.Era)
     return false;
-  MirrorUpdate update = updateSince(Mirror, after);
-  return update.Snapshot || !update.Page.Items.empty();
+  return hasChangesSince(Mirror, after);
 }
 
 void StoreSync::answerFollowers() {
-  auto waiting = std::move(Followers);
-  Followers.clear();
-  for (Follower &it : waiting) {
-    if (tooOldToFollow() || hasNews(it.After))
-      respond(it.Request, it.After);
-    else
-      Followers.push_back(std::move(it));
-  }
+  bool all = tooOldToFollow();
+  respondIf([&](const Follower &it) { return all || hasNews(it.After); });
 }
 
 void StoreSync::expireFollowers() {
   MonoTime now = monoNow();
-  bool endAll = tooOldToFollow();
-  auto expired = std::stable_partition(
-      Followers.begin(), Followers.end(),
-      [&](const Follower &it) { return !endAll && now < it.Until; });
-  std::vector<Follower> ended(expired, Followers.end());
-  Followers.erase(expired, Followers.end());
-  for (const Follower &it : ended)
-    respond(it.Request, it.After);
+  bool all = tooOldToFollow();
+  respondIf([&](const Follower &it) { return all || now >= it.Until; });
+}
+
+void StoreSync::respondIf(const std::function<bool(const Follower &)> &due) {
+  auto first =
+      std::stable_partition(Followers.begin(), Followers.end(),
+                            [&](const Follower &it) { return !due(it); });
+  std::vector<Follower> ended(first, Followers.end());
+  Followers.erase(first, Followers.end());
+  respond(ended);
 }
 
 void StoreSync::adopt(const platform::StorePage &page) {
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -111,9 +111,16 @@
   void followWatcher(const std::string &address);
   void onWatcherUpdate(const std::string &address,
                        const Result<HttpMessage> &response);
+  struct Follower {
+    std::shared_ptr<ServedRequest> Request;
+    StorePosition After;
+    MonoTime Until{};
+  };
   void answerFollowers();
-  void respond(const std::shared_ptr<ServedRequest> &request,
-               StorePosition after);
+  /// Responds to the followers for which a condition holds.
+  void respondIf(const std::function<bool(const Follower &)> &due);
+  void respond(const std::vector<Follower> &followers) const;
+  HttpMessage updateResponse(StorePosition after, bool deflate) const;
   bool hasNews(StorePosition after) const;
   void schedule(Duration pause, const std::function<void()> &next);
   void onFailure(const Error &error, MonoTime sentAt);
@@ -150,11 +157,6 @@
   std::string WatcherAddress;
   std::unique_ptr<HttpChannel> WatcherChannel;
   WatcherSelection Selection;
-  struct Follower {
-    std::shared_ptr<ServedRequest> Request;
-    StorePosition After;
-    MonoTime Until{};
-  };
   std::vector<Follower> Followers;
 };
 
--- a/src/savoryvm/vm_peer_fetch.cpp
+++ b/src/savoryvm/vm_peer_fetch.cpp
@@ -1,4 +1,5 @@
 // The part of VmDaemon that fetches documents from other VMs.
+#include "content_coding.h"
 #include "documents.h"
 #include "savorylb/clock.h"
 #include "savorylb/event_log.h"
@@ -21,6 +22,7 @@
   HttpMessage request;
   request.Method = "GET";
   request.Path = path;
+  acceptDeflate(request);
   return request;
 }
 
@@ -85,12 +87,16 @@
       [this, peer](const Result<HttpMessage> &response) {
         PeerFetchPending = false;
         recordCatchUp(response);
-        if (!response || response.value().Status != 200) {
+        auto text = response && response.value().Status == 200
+                        ? readBody(response.value())
+                        : Result<std::string>(
+                              failure(ErrorCode::Unavailable, "no response"));
+        if (!text) {
           incrementCounter(
               "peer_documents_failed"); // A later round fetches it again.
           return;
         }
-        if (activateConfig(response.value().Body, "config", Revision()))
+        if (activateConfig(text.value(), "config", Revision()))
           logEvent(EventCode::PeerDocumentsAdopted,
                    {{"prefix", "config"}, {"peer", peer}, {"revision", 0}});
       });
@@ -121,7 +127,7 @@
         "peer_documents_failed"); // A later round fetches them again.
     return;
   }
-  auto update = readMirrorUpdate(response.value().Body);
+  auto update = readMirrorUpdate(response.value());
   if (!update) {
     logEvent(EventCode::DocumentRejected,
              {{"key", prefix}, {"findings", update.error().Message}});
--- a/src/savoryvm/vm_service.cpp
+++ b/src/savoryvm/vm_service.cpp
@@ -1,4 +1,5 @@
 // The part of VmDaemon that serves callers, lookups and other VMs.
+#include "content_coding.h"
 #include "edge_protocol.h"
 #include "request_proxy.h"
 #include "savorylb/clock.h"
@@ -56,7 +57,10 @@
 void VmDaemon::servePeer(const std::shared_ptr<ServedRequest> &request) {
   const std::string &path = request->Message.Path;
   if (path == "/config" && !ConfigText.empty()) {
-    request->Respond(jsonResponse(200, ConfigText));
+    HttpMessage response = jsonResponse(200, ConfigText);
+    if (acceptsDeflate(request->Message))
+      deflateBody(response);
+    request->Respond(std::move(response));
     return;
   }
   // The other path has the form /news/REVISION@ERA/PREFIX.
--- a/src/savoryvm/vm_traffic_test.cpp
+++ b/src/savoryvm/vm_traffic_test.cpp
@@ -76,3 +76,25 @@
            counterValue("zone_bytes_report") > reports;
   }));
 }
+
+// Guards against documents that take the link of a followed VM, as they are
+// sent to each of its followers.
+TEST(VmTraffic, DocumentsAreSentUncompressed) {
+  VmFixture fixture;
+  fixture.Platform.addTarget("tiles", "tema-a");
+  fixture.addVm(2, "tema-a");
+  fixture.addVm(3, "tema-b");
+  // One VM finds the other, and begins to follow it.
+  fixture.runFor(Seconds(4));
+  std::int64_t sent = counterValue("zone_bytes_documents");
+  std::vector<std::string> keys;
+  for (int i = 0; i < 500; ++i)
+    keys.push_back("key-of-team-" + std::to_string(i));
+  fixture.Platform.configure(keys);
+  auto size =
+      static_cast<std::int64_t>(fixture.Platform.Store.get("op/config").size());
+  fixture.runFor(Seconds(2));
+  sent = counterValue("zone_bytes_documents") - sent;
+  CHECK_TRUE(sent > 0);
+  CHECK_TRUE(sent < size / 2);
+}
