--- a/src/savoryvm/vm_traffic_test.cpp
+++ b/src/savoryvm/vm_traffic_test.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Keys of a configuration that is much larger than one packet.
+constexpr int KeyCount = 500;
+
 /// Counters of calls to the store, by kind.
 struct StoreCalls {
   std::int64_t Lists = counterValue("store_calls_list");
@@ -88,7 +91,8 @@
   fixture.runFor(Seconds(4));
   std::int64_t sent = counterValue("zone_bytes_documents");
   std::vector<std::string> keys;
-  for (int i = 0; i < 500; ++i)
+  keys.reserve(KeyCount);
+  for (int i = 0; i < KeyCount; ++i)
     keys.push_back("key-of-team-" + std::to_string(i));
   fixture.Platform.configure(keys);
   auto size =
