Read the settings of the new features, and compress reports on request

Cause: the parts of docs/design/hard-load.md need settings. Reports between VMs are JSON with two numbers for each team, sent by each VM to 24 others a second, and cross regions, where bytes are billed. Change: settings of the duties, of shared loads, object replicas and overload control, all off when absent; with compress_reports, a report is compressed once a second. Compressed reports are read in any case.

--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -28,6 +28,15 @@
 struct SteeringBounds {
   RetryLimits Retries;
   BadVersionLimits BadVersion;
+  /// Targets of a region that should have an object cached; 1 for no replicas.
+  int ObjectReplicas = 1;
+  /// Objects of one service that a target is expected to keep cached.
+  int CachedObjects = 12;
+  /// VMs share the loads of targets.
+  bool SharedLoads = false;
+  /// Less urgent requests leave slots to more urgent ones, and requests that
+  /// would be late because of queues are refused.
+  bool OverloadControl = false;
 };
 
 /// The positions after From up to To.
--- a/src/savoryvm/content_coding.cpp
+++ b/src/savoryvm/content_coding.cpp
@@ -19,6 +19,33 @@
 
 } // namespace
 
+std::string deflateText(const std::string &text) {
+  std::ostringstream out;
+  Poco::DeflatingOutputStream deflater(
+      out, Poco::DeflatingStreamBuf::STREAM_ZLIB, Level);
+  deflater.write(text.data(), static_cast<std::streamsize>(text.size()));
+  deflater.close();
+  return out.str();
+}
+
+Result<std::string> inflateText(const std::string &bytes,
+                                std::size_t maxBytes) {
+  std::istringstream in(bytes);
+  Poco::InflatingInputStream inflater(in,
+                                      Poco::InflatingStreamBuf::STREAM_ZLIB);
+  std::string text;
+  std::array<char, 16384> buf{};
+  while (inflater.good()) {
+    inflater.read(buf.data(), buf.size());
+    text.append(buf.data(), static_cast<std::size_t>(inflater.gcount()));
+    if (text.size() > maxBytes)
+      return failure(ErrorCode::Malformed, "the inflated text is too large");
+  }
+  if (inflater.bad())
+    return failure(ErrorCode::Malformed, "the text cannot be inflated");
+  return text;
+}
+
 void acceptDeflate(HttpMessage &request) {
   request.Fields.emplace_back(AcceptField, Deflate);
 }
@@ -31,13 +58,7 @@
 void deflateBody(HttpMessage &response) {
   if (response.Body.size() < MinBytes)
     return;
-  std::ostringstream out;
-  Poco::DeflatingOutputStream deflater(
-      out, Poco::DeflatingStreamBuf::STREAM_ZLIB, Level);
-  deflater.write(response.Body.data(),
-                 static_cast<std::streamsize>(response.Body.size()));
-  deflater.close();
-  response.Body = out.str();
+  response.Body = deflateText(response.Body);
   response.Fields.emplace_back(EncodingField, Deflate);
 }
 
@@ -48,20 +69,7 @@
     return response.Body;
   if (*encoding != Deflate)
     return failure(ErrorCode::Malformed, "unknown content encoding");
-  std::istringstream in(response.Body);
-  Poco::InflatingInputStream inflater(in,
-                                      Poco::InflatingStreamBuf::STREAM_ZLIB);
-  std::string body;
-  std::array<char, 16384> buf{};
-  while (inflater.good()) {
-    inflater.read(buf.data(), buf.size());
-    body.append(buf.data(), static_cast<std::size_t>(inflater.gcount()));
-    if (body.size() > maxBytes)
-      return failure(ErrorCode::Malformed, "the inflated body is too large");
-  }
-  if (inflater.bad())
-    return failure(ErrorCode::Malformed, "the body cannot be inflated");
-  return body;
+  return inflateText(response.Body, maxBytes);
 }
 
 } // namespace savorylb
--- a/src/savoryvm/content_coding.h
+++ b/src/savoryvm/content_coding.h
@@ -11,6 +11,14 @@
 /// Largest body of a response between VMs, inflated.
 constexpr std::size_t MaxInflatedBytes = 8 << 20;
 
+/// \returns the text, compressed in the zlib format.
+std::string deflateText(const std::string &text);
+
+/// \param maxBytes largest text that is accepted.
+/// \returns the text that deflateText() compressed, or Malformed.
+Result<std::string> inflateText(const std::string &bytes,
+                                std::size_t maxBytes = MaxInflatedBytes);
+
 /// Announces in a request that the response's body may be compressed.
 void acceptDeflate(HttpMessage &request);
 
--- a/src/savoryvm/peer_link.cpp
+++ b/src/savoryvm/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "peer_link.h"
 
+#include "content_coding.h"
 #include "http_connection.h"
 #include "peer_codec.h"
 #include "savorylb/clock.h"
@@ -13,6 +14,11 @@
 /// Bounds the cost of a round in a large fleet.
 constexpr std::size_t MaxReportsPerRound = 24;
 
+/// Largest inflated datagram.
+constexpr std::size_t MaxReportBytes = 1 << 18;
+/// First byte of a text in the zlib format; the reports begin with a brace.
+constexpr char ZlibStart = 0x78;
+
 /// \returns the zone of a VM, or this VM's zone if the VM is not known.
 ZoneId zoneOf(const FleetView &view, const VmId &vm) {
   auto entry = view.Registered.find(vm);
@@ -54,6 +60,8 @@
 /// \param count largest number of VMs to which the report is sent.
 void PeerLink::sendReports(std::size_t count) {
   std::string text = writePeerReport(makePeerReport(State, monoNow()));
+  if (Compress)
+    text = deflateText(text);
   std::map<std::string, ZoneId> zones;
   for (const auto &[vm, entry] : State.Fleet.Registered)
     zones[entry.PeerAddress] = entry.Zone;
@@ -95,6 +103,18 @@
   }
 }
 
+void PeerLink::onBytes(const std::string &bytes) {
+  if (bytes.empty() || bytes.front() != ZlibStart) {
+    onDatagram(bytes);
+    return;
+  }
+  auto text = inflateText(bytes, MaxReportBytes);
+  if (text)
+    onDatagram(text.value());
+  else
+    incrementCounter("peer_report_rejected");
+}
+
 void PeerLink::onDatagram(const std::string &text) {
   MonoTime now = monoNow();
   auto message = readTeamMessage(text);
@@ -124,7 +144,7 @@
         if (ec)
           incrementCounter("peer_receive_failed"); // Keep receiving.
         else
-          onDatagram(std::string(Buffer.data(), n));
+          onBytes(std::string(Buffer.data(), n));
         receive();
       });
 }
--- a/src/savoryvm/peer_link.h
+++ b/src/savoryvm/peer_link.h
@@ -16,6 +16,10 @@
   PeerLink(asio::io_context &io, SteeringState &state)
       : State(state), Socket(io) {}
 
+  /// Compresses the reports to other VMs from now on, or no longer. Compressed
+  /// ones are read in any case.
+  void compressReports(bool compress) { Compress = compress; }
+
   /// Binds the socket and starts to receive.
   /// \param address `ip:port`.
   /// \returns whether the address could be bound.
@@ -36,6 +40,7 @@
 private:
   void receive();
   void sendReports(std::size_t count);
+  void onBytes(const std::string &bytes);
   void onDatagram(const std::string &text);
   void sendTo(const asio::ip::udp::endpoint &to, const ZoneId &zone,
               const std::string &text);
@@ -45,6 +50,7 @@
   asio::ip::udp::endpoint Sender;
   std::array<char, 65536> Buffer;
   std::size_t NextPeer = 0;
+  bool Compress = false;
 };
 
 } // namespace savorylb
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -116,6 +116,10 @@
   state.Bounds.Retries.Slack = settings.RetryBudgetSlack;
   state.Bounds.Retries.Window = settings.RetryBudgetWindow;
   state.Bounds.BadVersion = {settings.MaxBadShare, settings.MaxBadSlack};
+  state.Bounds.ObjectReplicas = settings.ObjectReplicas;
+  state.Bounds.CachedObjects = settings.CachedObjects;
+  state.Bounds.SharedLoads = settings.LoadReportInterval > Millis::zero();
+  state.Bounds.OverloadControl = settings.OverloadControl;
 }
 
 } // namespace
@@ -164,6 +168,7 @@
                    writeVmEntry(State.Fleet.Self), settings.MinLease),
       Ticker(io), Signals(io, SIGTERM, SIGHUP, SIGINT) {
   setBounds(State, Settings);
+  Link.compressReports(Settings.CompressReports);
   Callers.setBodyBudget(std::make_shared<ByteBudget>(RequestBudgetBytes));
   Callers.setConcurrencyRule(
       [this](const HttpMessage &it) { return mayRunConcurrently(it); });
--- a/src/savoryvm/vm_settings.cpp
+++ b/src/savoryvm/vm_settings.cpp
@@ -73,12 +73,86 @@
     value = parsed;
 }
 
-const std::set<std::string> KnownSettings = {
-    "vm",          "zone",           "region",        "address",
-    "zones",       "caller_address", "ready_address", "lookup_address",
-    "peer_port",   "store_address",  "min_lease",     "lookup_max_age",
-    "stop_grace",  "repeat_ratio",   "repeat_window", "repeat_slack",
-    "trial_share", "trial_slack"};
+const std::set<std::string> KnownSettings = {"vm",
+                                             "zone",
+                                             "region",
+                                             "address",
+                                             "zones",
+                                             "caller_address",
+                                             "ready_address",
+                                             "lookup_address",
+                                             "peer_port",
+                                             "store_address",
+                                             "min_lease",
+                                             "lookup_max_age",
+                                             "stop_grace",
+                                             "repeat_ratio",
+                                             "repeat_window",
+                                             "repeat_slack",
+                                             "trial_share",
+                                             "trial_slack",
+                                             "duties",
+                                             "platform_api_address",
+                                             "duty_calls_per_second",
+                                             "duty_lease",
+                                             "duty_lease_margin",
+                                             "duty_fencing",
+                                             "usage_window",
+                                             "usage_due",
+                                             "load_report_interval",
+                                             "object_replicas",
+                                             "cached_objects",
+                                             "overload_control",
+                                             "compress_reports"};
+
+/// Reads an optional switch; an absent or empty setting keeps the default.
+/// \param on text of the setting that turns the switch on.
+/// \param off text that turns it off.
+void readSwitch(ParseContext &context, const char *name, const char *on,
+                const char *off, bool &value) {
+  auto given = platform::stringMember(context.Root, name);
+  if (!given || given->empty())
+    return;
+  if (*given != on && *given != off)
+    addFinding(context, name,
+               std::string("must be `") + on + "` or `" + off + "`");
+  value = *given == on;
+}
+
+/// Reads an optional whole number of at least 1.
+void readCount(ParseContext &context, const char *name, int &value) {
+  constexpr double MaxCount = 1000;
+  double number = value;
+  readNumber(context, name, number);
+  if (number < 1 || number > MaxCount ||
+      number != static_cast<double>(static_cast<int>(number)))
+    addFinding(context, name, "must be a whole number from 1 to 1000");
+  else
+    value = static_cast<int>(number);
+}
+
+bool listContains(const std::string &list, const std::string &item) {
+  return ("," + list + ",").find("," + item + ",") != std::string::npos;
+}
+
+void readDuty(ParseContext &context, DutySettings &duty) {
+  duty.UsageReporting =
+      listContains(platform::stringMember(context.Root, "duties").value_or(""),
+                   "usage_reporting");
+  readNumber(context, "duty_calls_per_second", duty.CallsPerSecond);
+  readDuration(context, "duty_lease", duty.Lease);
+  readDuration(context, "duty_lease_margin", duty.LeaseMargin);
+  readSwitch(context, "duty_fencing", "true", "false", duty.Fencing);
+  readDuration(context, "usage_window", duty.UsageWindow);
+  readDuration(context, "usage_due", duty.UsageDue);
+  if (!duty.UsageReporting)
+    return;
+  duty.PlatformApiAddress = requiredEndpoint(context, "platform_api_address");
+  if (duty.UsageWindow <= Millis::zero())
+    addFinding(context, "usage_window", "must be set for usage_reporting");
+  if (duty.LeaseMargin >= duty.Lease)
+    addFinding(context, "duty_lease_margin", "must be below duty_lease");
+}
 
 } // namespace
 
@@ -144,6 +218,14 @@
   readNumber(context, "repeat_slack", settings.RetryBudgetSlack);
   readNumber(context, "trial_share", settings.MaxBadShare);
   readNumber(context, "trial_slack", settings.MaxBadSlack);
+  readDuty(context, settings.Duty);
+  readDuration(context, "load_report_interval", settings.LoadReportInterval);
+  readCount(context, "object_replicas", settings.ObjectReplicas);
+  readCount(context, "cached_objects", settings.CachedObjects);
+  readSwitch(context, "overload_control", "on", "off",
+             settings.OverloadControl);
+  readSwitch(context, "compress_reports", "on", "off",
+             settings.CompressReports);
   if (settings.MaxBadShare > 1)
     addFinding(context, "trial_share", "must be a number from 0 to 1");
   return settings;
--- a/src/savoryvm/vm_settings.h
+++ b/src/savoryvm/vm_settings.h
@@ -11,6 +11,26 @@
 
 namespace savorylb {
 
+/// Settings of the duties that one VM at a time performs for all.
+struct DutySettings {
+  /// Whether the platform expects usage reports. Set by `duties`, a list
+  /// separated by commas that contains `usage_reporting`.
+  bool UsageReporting = false;
+  /// Address of the platform's interface for reports, `ip:port`.
+  std::string PlatformApiAddress;
+  /// Calls per second that the platform accepts from all VMs together.
+  double CallsPerSecond = 1;
+  Millis Lease{3000};
+  /// Time before the end of a lease from which its holder no longer acts.
+  Millis LeaseMargin{300};
+  /// The platform refuses calls with a lower fencing token than it has seen.
+  bool Fencing = true;
+  /// Length of the window that a usage report covers.
+  Millis UsageWindow{0};
+  /// Time after the end of a window within which its report is due.
+  Millis UsageDue{10000};
+};
+
 /// Settings of one VM, read from a JSON file with comments. All values except
 /// `zones` are strings; durations carry the unit `ms` or `s`.
 struct VmSettings {
@@ -45,6 +65,20 @@
   /// Requests beyond that share that it may receive, over all VMs. Set by
   /// `trial_slack`.
   double MaxBadSlack = 0;
+  DutySettings Duty;
+  /// Interval at which VMs share the loads of targets; 0 for never.
+  Millis LoadReportInterval{0};
+  /// Targets of a region that should have an object cached; 1 for no replicas.
+  int ObjectReplicas = 1;
+  /// Objects of one service that a target is expected to keep cached.
+  int CachedObjects = 12;
+  /// Less urgent requests leave slots to more urgent ones, and requests that
+  /// would be late because of queues are refused. Set by `overload_control`,
+  /// which is `on` or empty.
+  bool OverloadControl = false;
+  /// Reports between VMs are compressed. Set by `compress_reports`, which is
+  /// `on` or empty.
+  bool CompressReports = false;
 };
 
 /// Reads a settings file.
--- a/src/savoryvm/vm_settings_test.cpp
+++ b/src/savoryvm/vm_settings_test.cpp
@@ -34,6 +34,26 @@
   DOUBLES_EQUAL(50, settings.MaxBadSlack, 0.001);
 }
 
+// Guards against features that start without their settings, and against
+// settings of a duty that cannot be performed.
+TEST(VmSettings, FeaturesAreOffWithoutTheirSettings) {
+  Findings findings;
+  VmSettings settings = readVmSettings("f", Good, findings);
+  CHECK_FALSE(settings.Duty.UsageReporting);
+  CHECK_TRUE(settings.LoadReportInterval == Millis(0));
+  LONGS_EQUAL(1, settings.ObjectReplicas);
+  CHECK_FALSE(settings.OverloadControl);
+  CHECK_FALSE(settings.CompressReports);
+  std::string text = Good;
+  text.replace(text.find("\"repeat_ratio\""), 14,
+               "\"duties\": \"other,usage_reporting\", \"object_replicas\": "
+               "\"0\", \"overload_control\": \"yes\", \"repeat_ratio\"");
+  settings = readVmSettings("f", text, findings);
+  CHECK_TRUE(settings.Duty.UsageReporting);
+  // No address and no window; no replicas; an unknown word.
+  LONGS_EQUAL(4, findings.size());
+}
+
 // Guards against reporting only the first error, or an error without its line.
 TEST(VmSettings, ReportsAllErrorsAtOnce) {
   std::string text = Good;
