--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -38,6 +38,8 @@
   LeaseRegained = 3004,
   TakeoverDone = 3005,
   TakeoverRefused = 3006,
+  DutyGained = 3007,
+  DutyLost = 3008,
   // Documents and keys.
   DocumentAdopted = 4001,
   DocumentRejected = 4002,
@@ -70,6 +72,10 @@
   EvacuationEnded = 6006,
   TargetRejected = 6007,
   TargetPaused = 6008,
+  // Usage reports.
+  UsageSettled = 7001,
+  UsageAccepted = 7002,
+  UsageCallFailed = 7003,
 };
 
 /// \returns the name of the event in the log and in docs/EVENTS.md.
--- a/src/libsavoryobserve/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -82,6 +82,16 @@
     return "takeover_done";
   case EventCode::TakeoverRefused:
     return "takeover_refused";
+  case EventCode::DutyGained:
+    return "duty_gained";
+  case EventCode::DutyLost:
+    return "duty_lost";
+  case EventCode::UsageSettled:
+    return "usage_settled";
+  case EventCode::UsageAccepted:
+    return "usage_accepted";
+  case EventCode::UsageCallFailed:
+    return "usage_call_failed";
   case EventCode::BlocksActivated:
     return "blocks_in_force";
   case EventCode::DocumentAdopted:
--- a/src/savoryvm/http_channel.cpp
+++ b/src/savoryvm/http_channel.cpp
@@ -16,11 +16,11 @@
 
 } // namespace
 
-void HttpChannel::call(HttpMessage request, Duration timeout,
-                       const Done &done) {
+void HttpChannel::call(HttpMessage request, Duration timeout, const Done &done,
+                       const MaySend &maySend) {
   request.Fields.emplace_back("Host", Address);
   if (Connection && Connection->reusable()) {
-    transmit(request, timeout, done);
+    transmit(request, timeout, done, maySend);
     return;
   }
   Connection =
@@ -29,18 +29,23 @@
   std::weak_ptr<void> lifetime = Lifetime;
   connection->connect(
       Address, std::min(timeout, Duration(ConnectTimeout)),
-      [this, lifetime, connection, request, timeout, done](bool connected) {
+      [this, lifetime, connection, request, timeout, done,
+       maySend](bool connected) {
         if (lifetime.expired() || connection != Connection)
           return; // Destroyed, closed or replaced in the meantime.
         if (!connected)
           done(failure(ErrorCode::Unavailable, "no connection"));
         else
-          transmit(request, timeout, done);
+          transmit(request, timeout, done, maySend);
       });
 }
 
 void HttpChannel::transmit(const HttpMessage &request, Duration timeout,
-                           const Done &done) {
+                           const Done &done, const MaySend &maySend) {
+  if (maySend && !maySend()) {
+    done(failure(ErrorCode::Unavailable, "no longer allowed"));
+    return;
+  }
   Exchange exchange;
   exchange.Head = std::make_shared<std::string>(requestHead(request));
   exchange.Body = std::make_shared<std::string>(request.Body);
--- a/src/savoryvm/http_channel.h
+++ b/src/savoryvm/http_channel.h
@@ -15,6 +15,8 @@
 class HttpChannel {
 public:
   using Done = std::function<void(const Result<HttpMessage> &)>;
+  /// Asked immediately before the request is written.
+  using MaySend = std::function<bool()>;
 
   HttpChannel(asio::any_io_executor io, std::string address)
       : Io(std::move(io)), Address(std::move(address)) {}
@@ -25,13 +27,16 @@
   ///        600 ms.
   /// \param done receives the response, Unavailable when nothing was sent, or
   ///        Unknown when the call may have taken effect.
-  void call(HttpMessage request, Duration timeout, const Done &done);
+  /// \param maySend if it is given and returns false, nothing is sent.
+  void call(HttpMessage request, Duration timeout, const Done &done,
+            const MaySend &maySend = nullptr);
 
   /// Closes the connection; the callback of a call in progress is not called.
   void close();
 
 private:
-  void transmit(const HttpMessage &request, Duration timeout, const Done &done);
+  void transmit(const HttpMessage &request, Duration timeout, const Done &done,
+                const MaySend &maySend);
 
   asio::any_io_executor Io;
   std::string Address;
