Report usage, share the loads of targets and give objects replicas

Cause: the new decisions had no callers. Loads with a fourth figure were dropped, so a VM expected 0.1 requests at a target whose median response took twice the time of a cached execution. Change: a VM claims the duty and reports; VMs of a zone pass on the loads that they have read; objects have replicas whose number follows their demand. The end of a request moves to request_completion.cpp and processing times to processing_times.cpp.

--- a/src/libsavorysteer/fleet_view.h
+++ b/src/libsavorysteer/fleet_view.h
@@ -5,6 +5,7 @@
 #include "warmup_gate.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,8 @@
     RolloutEvidence Evidence;
   };
   std::map<ServiceId, Rollout> Rollouts;
+  /// The VM's wall clock, if the deployment reports usage.
+  std::optional<WallTime> Wall;
 };
 
 /// The last report of another VM.
--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -34,6 +34,19 @@
 /// A target counts as stuck if its oldest request in flight is older than this
 /// multiple of the expected time.
 constexpr double StuckFactor = 3;
+/// Largest cost of sending a response through other zones, as a fraction of the
+/// latency target, so that saving bytes does not make a response late.
+constexpr double MaxResponseCostFraction = 0.5;
+/// Random part of the cost relative to a cached execution. VMs that know the
+/// same loads would otherwise all choose the same target.
+constexpr double TieSpread = 0.15;
+/// Maximum expected latency of a request that has to queue while the loads of
+/// targets are known, as a fraction of the latency target.
+constexpr double KnownLoadLatencyFraction = 0.9;
+/// Cost of an uncached execution at a target that should not have the object,
+/// relative to the time that it takes longer: it occupies the slot for longer
+/// and evicts another object.
+constexpr double UnassignedCost = 0.5;
 constexpr Duration MinRetryAfter = Millis(100);
 constexpr Duration MaxRetryAfter = Millis(1000);
 
@@ -48,17 +61,30 @@
   return static_cast<double>(span.count()) / 1000.0;
 }
 
+/// \returns the cost in ms of sending the response through another zone.
+double responseCost(const PlacementRequest &request) {
+  return std::min(CrossZoneMsPerKilobyte * request.ResponseBytes / 1000.0,
+                  MaxResponseCostFraction *
+                      static_cast<double>(request.LatencyTarget.count()));
+}
+
+/// \returns a number from 0 to 1 that depends on the draw and the target.
+double randomFraction(std::uint64_t draw, const TargetId &target) {
+  constexpr std::uint64_t Steps = 1 << 16;
+  return static_cast<double>(stableHash(target.Value, draw) % Steps) / Steps;
+}
+
 Estimate estimate(const PlacementRequest &request,
                   const PlacementCandidate &candidate, int rank, MonoTime now) {
   const TargetState &target = *candidate.Target;
   double slots = std::max(1, target.Entry.Slots);
   double requests = expectedRequests(target, now);
-  double slow = currentSlowness(target, now);
+  double slow = currentSlowness(target, now) * machineSlowness(target, now);
   bool known = knownCached(target, request.Object, now);
   bool cached = !request.Object.empty() && (rank >= 0 || known);
   double work = slow * (cached ? request.CachedMs : request.UncachedMs);
-  double queued =
-      std::max(0.0, requests + 1 - slots) / slots * slow * request.CachedMs;
+  double slotMs = request.SlotMs > 0 ? request.SlotMs : request.CachedMs;
+  double queued = std::max(0.0, requests + 1 - slots) / slots * slow * slotMs;
   Estimate result;
   result.FreeSlot = requests + 1 <= slots;
   result.LatencyMs = candidate.RoundTripMs + work + queued;
@@ -76,7 +102,14 @@
                 FailureCostMs * currentFailureRate(target, now);
   if (target.Entry.Zone != request.Zone)
     result.Cost += CrossZoneMsPerKilobyte *
-                   static_cast<double>(request.BodyBytes) / 1000.0;
+                       static_cast<double>(request.BodyBytes) / 1000.0 +
+                   responseCost(request);
+  if (request.Demands && !cached)
+    result.Cost += UnassignedCost * slow *
+                   std::max(0.0, request.UncachedMs - request.CachedMs);
+  if (request.Demands)
+    result.Cost += TieSpread * request.CachedMs *
+                   randomFraction(request.Draw, target.Entry.Id);
   return result;
 }
 
@@ -91,12 +124,11 @@
 /// Resolution at which a hash is mapped to a fraction.
 constexpr std::uint64_t HashSteps = 1 << 20;
 
-/// \returns whether an object is assigned to a target of the region. If the
-///          region's targets cannot serve its share of the requests, only a
-///          matching fraction of the objects is; the others are assigned to
-///          other regions. All regions are assumed to receive the same number
-///          of requests.
-bool isAssignedInRegion(std::uint64_t objectHash, const RegionId &region,
+/// \returns the fraction of the objects that are assigned to targets of the
+///          region. If the region's targets cannot serve its share of the
+///          requests, the other objects are assigned to other regions. All
+///          regions are assumed to receive the same number of requests.
+double assignedFraction(const RegionId &region,
                         const std::vector<PlacementCandidate> &candidates) {
   double own = 0;
   double all = 0;
@@ -108,12 +140,40 @@
     regions.insert(it.Target->Region);
   }
   if (own <= 0 || regions.size() < 2)
-    return true;
-  double share =
-      own * static_cast<double>(regions.size()) / all / AssumedUtilization;
-  double draw = static_cast<double>(objectHash % HashSteps) /
-                static_cast<double>(HashSteps);
-  return draw < share;
+    return 1;
+  return std::min(1.0, own * static_cast<double>(regions.size()) / all /
+                           AssumedUtilization);
+}
+
+/// \returns whether an object belongs to a fraction of all objects.
+bool isInFraction(std::uint64_t objectHash, double fraction) {
+  return static_cast<double>(objectHash % HashSteps) <
+         fraction * static_cast<double>(HashSteps);
+}
+
+/// Gives rank 0 to the first targets of an order that should have the object.
+/// \returns the number of replicas.
+int rankReplicas(const PlacementRequest &request, double fraction,
+                 const std::vector<PlacementCandidate> &candidates,
+                 std::vector<ReplicaSlot> &order, std::vector<int> &ranks,
+                 MonoTime now) {
+  if (order.empty())
+    return 0;
+  double slots = 0;
+  for (const ReplicaSlot &it : order)
+    slots += std::max(1, candidates[it.Index].Target->Entry.Slots);
+  ReplicaDemand demand;
+  demand.Vms = request.RegionVms;
+  demand.Targets = static_cast<int>(order.size());
+  demand.TargetPerSecond = slots / static_cast<double>(order.size()) /
+                           std::max(1.0, request.CachedMs) * 1000.0;
+  demand.AssignedFraction = fraction;
+  int n = replicaCount(*request.Demands, request.Object, request.Replicas,
+                       demand, now);
+  selectReplicas(order, static_cast<std::size_t>(n));
+  for (int i = 0; i < n; ++i)
+    ranks[order[static_cast<std::size_t>(i)].Index] = 0;
+  return n;
 }
 
 } // namespace
@@ -131,7 +191,7 @@
   if (object.empty())
     return ranks;
   std::uint64_t seed = stableHash(object);
-  bool inRegion = isAssignedInRegion(seed, region, candidates);
+  bool inRegion = isInFraction(seed, assignedFraction(region, candidates));
   using Weighted = std::pair<std::uint64_t, std::size_t>;
   Weighted near{0, candidates.size()};
   Weighted far{0, candidates.size()};
@@ -158,6 +218,34 @@
   return ranks;
 }
 
+std::vector<int> replicaRanks(const PlacementRequest &request,
+                              const std::vector<PlacementCandidate> &candidates,
+                              MonoTime now) {
+  std::vector<int> ranks(candidates.size(), -1);
+  if (request.Object.empty())
+    return ranks;
+  std::uint64_t seed = stableHash(request.Object);
+  std::vector<ReplicaSlot> near;
+  std::vector<ReplicaSlot> far;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const TargetState &target = *candidates[i].Target;
+    auto &order = target.Region == request.Region ? near : far;
+    order.push_back(
+        {stableHash(target.Entry.Id.Value, seed), i, &target.Entry.Zone});
+  }
+  double fraction = assignedFraction(request.Region, candidates);
+  if (near.empty() || !isInFraction(seed, fraction)) {
+    rankReplicas(request, 1, candidates, far, ranks, now);
+    return ranks;
+  }
+  rankReplicas(request, fraction, candidates, near, ranks, now);
+  if (!far.empty()) {
+    selectReplicas(far, 1);
+    ranks[far.front().Index] = 1;
+  }
+  return ranks;
+}
+
 PlacementChoice placeRequest(const PlacementRequest &request,
                              const std::vector<PlacementCandidate> &candidates,
                              MonoTime now) {
@@ -165,10 +253,13 @@
   Estimate best;
   double leastLatencyMs = 0;
   std::vector<int> ranks =
-      objectRanks(request.Object, request.Region, candidates);
+      request.Demands ? replicaRanks(request, candidates, now)
+                      : objectRanks(request.Object, request.Region, candidates);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const PlacementCandidate &it = candidates[i];
-    if (wasTried(request, it.Target->Entry.Id))
+    if (wasTried(request, it.Target->Entry.Id) ||
+        (!request.AvoidedRegion.empty() &&
+         it.Target->Region == request.AvoidedRegion))
       continue;
     Estimate found = estimate(request, it, ranks[i], now);
     if (!choice.Target || found.Cost < best.Cost) {
@@ -189,6 +280,8 @@
   double fraction =
       std::max(MinQueuedLatencyFraction,
                QueuedLatencyFraction - PriorityStep * request.Priority);
+  if (request.SlotMs > 0)
+    fraction = KnownLoadLatencyFraction;
   double boundMs =
       fraction * static_cast<double>(request.LatencyTarget.count()) -
       toMs(request.Elapsed);
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYLB_PLACEMENT_POLICY_H
 #define SAVORYLB_PLACEMENT_POLICY_H
 
+#include "object_replicas.h"
 #include "steer_config.h"
 #include "target_state.h"
 
@@ -30,6 +31,20 @@
   double UncachedMs = 0;
   /// Targets to which the request was already sent.
   std::vector<TargetId> Tried;
+  /// Mean time for which the requests in a target's queue hold a slot; 0 to use
+  /// CachedMs.
+  double SlotMs = 0;
+  ReplicaLimits Replicas;
+  /// Recent requests for objects; null without replicas.
+  ObjectDemands *Demands = nullptr;
+  /// VMs of Region, which receive requests for the same objects.
+  int RegionVms = 1;
+  /// Expected size of the response.
+  double ResponseBytes = 0;
+  /// Region whose targets are not used; empty for none.
+  RegionId AvoidedRegion;
+  /// Random number that breaks ties between targets.
+  std::uint64_t Draw = 0;
 };
 
 /// A target that may serve the request, and the round trip to it.
@@ -80,6 +95,15 @@
 std::vector<int> objectRanks(const std::string &object, const RegionId &region,
                              const std::vector<PlacementCandidate> &candidates);
 
+/// Determines the replicas of an object if objects have several: the first ones
+/// of the region's order have rank 0, and one in another region has rank 1. An
+/// object that is not assigned to the region has all its replicas elsewhere;
+/// they are among those of the other regions' callers.
+/// \returns the rank of each candidate, or -1 if it is not assigned the object.
+std::vector<int> replicaRanks(const PlacementRequest &request,
+                              const std::vector<PlacementCandidate> &candidates,
+                              MonoTime now);
+
 /// \returns whether the target recently handled the object for this VM.
 bool knownCached(const TargetState &target, const std::string &object,
                  MonoTime now);
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -1,80 +1,20 @@
 #include "steering_state.h"
 
+#include "load_reports.h"
+#include "processing_times.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace savorylb {
 namespace {
 
-/// Round trip to the targets of a zone until this VM has opened a connection to
-/// one of them.
-constexpr double SameZoneMs = 1;
-constexpr double SameRegionMs = 4;
-constexpr double OtherRegionMs = 50;
 /// Weight of one connection in the smoothed round trip.
 constexpr double RoundTripWeight = 0.1;
-/// Initial processing times of a service's first route, as fractions of its
-/// latency target.
-constexpr double InitialCachedFraction = 0.45;
-constexpr double InitialUncachedFraction = 1.4;
-/// Weight of one response in the smoothed processing time.
-constexpr double ProcessingTimeWeight = 0.05;
 /// Retry delay of a request that this VM does not send because it stops. Other
 /// VMs can serve it at once.
 constexpr Duration StoppingRetryAfter = Millis(20);
 
-double roundTripMs(const SteeringState &state, const TargetState &target) {
-  auto it = state.RoundTripMs.find(target.Entry.Zone);
-  if (it != state.RoundTripMs.end())
-    return it->second;
-  const VmEntry &self = state.Fleet.Self;
-  if (target.Entry.Zone == self.Zone)
-    return SameZoneMs;
-  return target.Region == self.Region ? SameRegionMs : OtherRegionMs;
-}
-
-ServiceState::ProcessingTime &processingTime(ServiceState &service,
-                                             const RouteRule &route) {
-  auto known = service.ProcessingTimes.find(route.Id);
-  if (known != service.ProcessingTimes.end())
-    return known->second;
-  double target = static_cast<double>(route.LatencyTarget.count());
-  ServiceState::ProcessingTime first{InitialCachedFraction * target,
-                                     InitialUncachedFraction * target};
-  // Requests of a new route are likely to resemble those of the other routes.
-  if (!service.ProcessingTimes.empty())
-    first = service.ProcessingTimes.begin()->second;
-  return service.ProcessingTimes.emplace(route.Id, first).first->second;
-}
-
-/// Updates the mean processing times from one response, if it is known whether
-/// the target had the object cached.
-void recordProcessingTime(SteeringState &state, const SteeredRequest &request,
-                          const TargetState &target, double tookMs,
-                          MonoTime now) {
-  ServiceState::ProcessingTime &mean =
-      processingTime(state.Services[request.Service], *request.Route);
-  double processingMs = std::max(1.0, tookMs - roundTripMs(state, target));
-  bool seen = target.Objects.count(request.Object) > 0;
-  if (knownCached(target, request.Object, now))
-    mean.CachedMs += ProcessingTimeWeight * (processingMs - mean.CachedMs);
-  else if (!seen && processingMs > mean.CachedMs)
-    mean.UncachedMs += ProcessingTimeWeight * (processingMs - mean.UncachedMs);
-}
-
-/// \returns the ratio of a response time to the expected one, or -1 without an
-///          expected time. If the execution may have been uncached, the ratio
-///          is at least 1 and relates to the expected uncached time.
-double relativeTime(const SteeredRequest &request, const TargetState &target,
-                    const SendOutcome &outcome, double tookMs, MonoTime now) {
-  if (outcome.ExpectedMs <= 0)
-    return -1;
-  if (knownCached(target, request.Object, now))
-    return tookMs / outcome.ExpectedMs;
-  return std::max(
-      1.0, tookMs / std::max(outcome.ExpectedMs, outcome.ExpectedUncachedMs));
-}
-
 /// Restricts the versions of a service that a request may use.
 struct VersionRule {
   /// If not empty, the only version allowed.
@@ -221,6 +161,22 @@
                                                                  : choice;
 }
 
+/// Limits how fast requests of this VM move to another region. While the limit
+/// is reached, a request uses the targets of the other regions or is refused.
+PlacementChoice
+limitRegionOutflow(const SteeringState &state, PlacementRequest query,
+                   const std::vector<PlacementCandidate> &candidates,
+                   const PlacementChoice &choice, MonoTime now) {
+  if (!choice.Target || choice.Target->Region == state.Fleet.Self.Region ||
+      mayIncreaseShare(state.Regions, choice.Target->Region, now,
+                       MaxOutflowIncrease))
+    return choice;
+  query.AvoidedRegion = choice.Target->Region;
+  PlacementChoice other = placeRequest(query, candidates, now);
+  // Without any other target, the region's own may be lost.
+  return other.ExpectedMs > 0 ? other : choice;
+}
+
 /// Refuses a request that would be cut off by the end of this VM.
 PlacementChoice refuseBeforeStop(const SteeringState &state,
                                  const SteeredRequest &request,
@@ -270,8 +226,22 @@
       processingTime(service, *request.Route);
   query.CachedMs = mean.CachedMs;
   query.UncachedMs = mean.UncachedMs;
+  if (state.Bounds.SharedLoads)
+    query.SlotMs = service.SlotMs;
+  if (state.Bounds.ObjectReplicas > 1) {
+    query.Replicas = {state.Bounds.ObjectReplicas, state.Bounds.CachedObjects};
+    query.Demands = &service.Demands;
+    query.RegionVms =
+        static_cast<int>(storeWatchers(state.Fleet, query.Region, now).size());
+    query.ResponseBytes = service.ResponseBytes[request.Route->Id];
+    query.Draw = state.TieBreaker();
+    if (request.Tried.empty())
+      countObjectRequest(service.Demands, query.Object, now);
+  }
   PlacementChoice choice = placeRequest(query, candidates.Usable, now);
   choice = limitRegionReturn(state, query, candidates.Usable, choice, now);
+  if (state.Bounds.ObjectReplicas > 1)
+    choice = limitRegionOutflow(state, query, candidates.Usable, choice, now);
   return refuseBeforeStop(state, request, choice, now);
 }
 
@@ -292,7 +262,9 @@
   ServiceState &service = state.Services[request.Service];
   if (found != state.Targets.end()) {
     TargetState &known = found->second;
-    if (outcome.Load) {
+    if (outcome.Load && state.Bounds.SharedLoads) {
+      recordOwnLoad(known, *outcome.Load, now);
+    } else if (outcome.Load) {
       recordLoad(known, *outcome.Load, now);
       setReportSmoothing(known,
                          static_cast<int>(state.Fleet.Registered.size()));
@@ -307,6 +279,7 @@
         executed ? relativeTime(request, known, outcome, tookMs, now) : -1;
     recordResult(known, outcome.Result, relative, now);
     if (outcome.Result == TargetResult::Answered) {
+      recordResponse(state, request, known, outcome, tookMs);
       if (!outcome.Load || outcome.Load->Waiting == 0)
         recordProcessingTime(state, request, known, tookMs, now);
       recordObject(known, request.Object, now);
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -2,6 +2,7 @@
 #define SAVORYLB_STEERING_STATE_H
 
 #include "fleet_view.h"
+#include "object_replicas.h"
 #include "placement_policy.h"
 #include "planned_stop.h"
 #include "region_shares.h"
@@ -13,6 +14,7 @@
 #include "target_state.h"
 #include "team_ledger.h"
 #include "team_limit.h"
+#include "usage_tracking.h"
 
 #include <map>
 #include <memory>
@@ -81,6 +83,12 @@
     double UncachedMs = 0;
   };
   std::map<RouteId, ProcessingTime> ProcessingTimes;
+  /// Recent requests for objects, if objects have replicas.
+  ObjectDemands Demands;
+  /// Mean time for which a request of any route holds a slot; 0 if not known.
+  double SlotMs = 0;
+  /// Mean size of a response in bytes.
+  std::map<RouteId, double> ResponseBytes;
   /// Requests that this VM may send to the new version.
   TrialCredit NewVersionCredit;
 };
@@ -112,6 +120,10 @@
   std::map<ZoneId, double> RoundTripMs;
   /// Regions in which this VM's requests run.
   RegionShares Regions;
+  /// Breaks ties between targets.
+  std::minstd_rand TieBreaker;
+  /// Set if this deployment reports usage.
+  std::optional<UsageTracking> Usage;
   /// Credit of each split of a route for weighted round robin.
   std::map<RouteId, std::map<ServiceId, double>> SplitCredit;
 };
@@ -189,11 +201,15 @@
   /// HTTP status of the response; 0 without one.
   int Status = 0;
   std::optional<TargetLoad> Load;
+  /// Size of the response's body.
+  std::size_t ResponseBytes = 0;
   /// Time from sending to the end.
   Duration Took{0};
   double ExpectedMs = 0;
   double ExpectedUncachedMs = 0;
   MonoTime SentAt{};
+  /// VMs share the loads of targets.
+  bool LoadsShared = false;
 };
 
 /// Records the outcome of a send.
--- a/src/libsavorysteer/target_state.cpp
+++ b/src/libsavorysteer/target_state.cpp
@@ -47,6 +47,35 @@
     target.Entry.Slots = load.Slots;
 }
 
+void recordOwnLoad(TargetState &target, const TargetLoad &load, MonoTime now) {
+  int requests = load.Running + load.Waiting;
+  target.LastOwnReading = {requests, load.MachineSlowness, now, false};
+  recordSharedLoad(target, requests, load.MachineSlowness, now);
+  if (load.Slots > 0)
+    target.Entry.Slots = load.Slots;
+}
+
+void recordSharedLoad(TargetState &target, int requests, int machineSlowness,
+                      MonoTime at) {
+  if (at < target.ReportedAt)
+    return;
+  // Requests that this VM sent after the reading count on top of it.
+  auto own = std::count_if(target.InFlight.begin(), target.InFlight.end(),
+                           [&](MonoTime sentAt) { return sentAt <= at; });
+  double others = std::max(0.0, requests - static_cast<double>(own));
+  double weight = 1 - decay(at - target.ReportedAt, SharedMeanTimeConstant);
+  target.OthersMean += weight * (others - target.OthersMean);
+  target.OthersReported = others;
+  target.ReportTimeConstant = SharedLoadTimeConstant;
+  target.MachineSlowness = machineSlowness > 0 ? machineSlowness / 100.0 : 1;
+  target.ReportedAt = at;
+}
+
+double machineSlowness(const TargetState &target, MonoTime now) {
+  return 1 + (target.MachineSlowness - 1) *
+                 decay(now - target.ReportedAt, MachineSlownessTimeConstant);
+}
+
 void recordResult(TargetState &target, TargetResult result, double relative,
                   MonoTime now) {
   double rate = currentFailureRate(target, now);
@@ -76,6 +105,8 @@
     target.FailureRate = 0;
     target.Slowness = 1;
     target.OthersReported = target.OthersMean = 0;
+    target.MachineSlowness = 1;
+    target.LastOwnReading = OwnReading();
     target.Objects.clear();
     target.Suspended = false;
     target.Suspension = Duration::zero();
--- a/src/libsavorysteer/target_state.h
+++ b/src/libsavorysteer/target_state.h
@@ -14,6 +14,18 @@
   int Running = 0;
   int Waiting = 0;
   int Slots = 0;
+  /// Slowness of the target's machine at this moment in percent, 100 as usual;
+  /// 0 if the target sends none.
+  int MachineSlowness = 0;
+};
+
+/// The load that this VM itself last read from a target's response.
+struct OwnReading {
+  int Requests = 0;
+  int MachineSlowness = 0;
+  MonoTime At{};
+  /// The reading was passed on to other VMs, or there is none.
+  bool Reported = true;
 };
 
 /// What a target told about its use in responses, valid for one process start.
@@ -40,6 +52,10 @@
   MonoTime ReportedAt{};
   /// Time constant with which OthersReported decays to OthersMean.
   Duration ReportTimeConstant = Millis(300);
+  /// For the VMs of the zone, if they share the loads of targets.
+  OwnReading LastOwnReading;
+  /// Factor by which work on the target's machine took longer at ReportedAt.
+  double MachineSlowness = 1;
   /// Smoothed ratio of the response time to the time expected when the request
   /// was sent. A response counts with at least 1 if the execution may have been
   /// uncached.
@@ -88,6 +104,16 @@
 constexpr Duration MinReportTimeConstant = Millis(300);
 constexpr Duration MaxReportTimeConstant = Millis(1500);
 
+/// Time constant with which a shared load decays to the mean. Requests of the
+/// services that share loads run for 0.2 s or longer; a queue of a few requests
+/// for each slot has drained after about that time.
+constexpr Duration SharedLoadTimeConstant = Millis(400);
+/// Time constant of the mean of shared loads.
+constexpr Duration SharedMeanTimeConstant = Millis(2000);
+/// Time constant with which a machine's slowness is forgotten. It changes many
+/// times a second, and a request that is sent now runs for 0.2 s or longer.
+constexpr Duration MachineSlownessTimeConstant = Millis(400);
+
 /// Sets the smoothing of load reports according to the number of VMs.
 void setReportSmoothing(TargetState &target, int vms);
 
@@ -107,6 +133,22 @@
 /// \param target the target, with the answered request still in InFlight.
 void recordLoad(TargetState &target, const TargetLoad &load, MonoTime now);
 
+/// Records the load report of a response while VMs share the loads of targets.
+/// \param target the target, with the answered request still in InFlight.
+void recordOwnLoad(TargetState &target, const TargetLoad &load, MonoTime now);
+
+/// Records a load that this VM or another one read from a target's response,
+/// unless a newer one is known.
+/// \param requests requests at the target, of all VMs.
+/// \param machineSlowness in percent; 0 if the target sends none.
+/// \param at when the response arrived.
+void recordSharedLoad(TargetState &target, int requests, int machineSlowness,
+                      MonoTime at);
+
+/// \returns the factor by which work on the target's machine takes longer now,
+///          as far as shared loads tell; decays to 1.
+double machineSlowness(const TargetState &target, MonoTime now);
+
 /// Records the result of a request.
 /// \param relative ratio of the response time to the expected one; below 0 if
 ///        there is none.
--- a/src/savoryvm/peer_codec.cpp
+++ b/src/savoryvm/peer_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace savorylb {
 namespace {
@@ -150,6 +151,81 @@
   return message;
 }
 
+std::string writeLoadReport(const LoadReport &report) {
+  Json::Value value;
+  value["loads"] = report.Vm.Value;
+  for (const LoadReading &it : report.Readings) {
+    Json::Value &row = value["rows"].append(Json::arrayValue);
+    row.append(it.Target.Value);
+    row.append(it.Requests);
+    row.append(it.MachineSlowness);
+    row.append(static_cast<Json::Int64>(it.Age.count() / 1000));
+  }
+  return writeJson(value);
+}
+
+Result<LoadReport> readLoadReport(const std::string &text) {
+  auto value = parseObject(text);
+  if (!value || !stringMember(*value, "loads"))
+    return failure(ErrorCode::Malformed, "not a load report");
+  LoadReport report;
+  report.Vm = VmId(*stringMember(*value, "loads"));
+  for (const Json::Value &row : member(*value, "rows")) {
+    if (!row.isArray() || row.size() != 4 || !row[0].isString() ||
+        !isCount(row[1]) || !isCount(row[2]) || !isCount(row[3]))
+      return failure(ErrorCode::Malformed,
+                     "a load is not a target and three numbers");
+    if (report.Readings.size() < MaxReadings)
+      report.Readings.push_back({TargetId(row[0].asString()), row[1].asInt(),
+                                 row[2].asInt(), Millis(row[3].asInt64())});
+  }
+  return report;
+}
+
+std::string writeUsageReport(const UsageReport &report) {
+  Json::Value value;
+  Json::Value &usage = value["usage"];
+  usage["vm"] = report.Vm.Value;
+  usage["start"] = report.StartId;
+  usage["seq"] = static_cast<Json::Int64>(report.Sequence);
+  usage["windows"] = Json::objectValue;
+  for (const auto &[window, counts] : report.Windows) {
+    Json::Value &row = usage["windows"][std::to_string(window.Value)];
+    row = Json::objectValue;
+    for (const auto &[team, n] : counts)
+      row[team.Value] = static_cast<Json::Int64>(n);
+  }
+  return writeJson(value);
+}
+
+Result<UsageReport> readUsageReport(const std::string &text) {
+  auto value = parseObject(text);
+  if (!value || !member(*value, "usage").isObject())
+    return failure(ErrorCode::Malformed, "not a usage report");
+  const Json::Value &usage = (*value)["usage"];
+  UsageReport report;
+  report.Vm = VmId(stringMember(usage, "vm").value_or(""));
+  report.StartId = stringMember(usage, "start").value_or("");
+  report.Sequence = integerMember(usage, "seq").value_or(0);
+  const Json::Value &windows = member(usage, "windows");
+  if (report.Vm.empty() || report.StartId.empty() || !windows.isObject())
+    return failure(ErrorCode::Malformed, "the usage report lacks a field");
+  for (const std::string &it : windows.getMemberNames()) {
+    char *end = nullptr;
+    UsageWindow window(std::strtoll(it.c_str(), &end, 10));
+    const Json::Value &row = windows[it];
+    if (*end != 0 || it.empty() || !row.isObject())
+      return failure(ErrorCode::Malformed, "a window of a usage report");
+    TeamCounts &counts = report.Windows[window];
+    for (const std::string &team : row.getMemberNames()) {
+      if (!isCount(row[team]))
+        return failure(ErrorCode::Malformed, "a count of a usage report");
+      counts[TeamId(team)] = row[team].asInt64();
+    }
+  }
+  return report;
+}
+
 std::string writePeerReport(const PeerReport &report) {
   Json::Value value = entryValue(report.Vm);
   value["draining"] = report.Draining;
@@ -157,6 +233,9 @@
       static_cast<Json::Int64>(report.DocumentsRevision.Number.Value);
   value["era"] = static_cast<Json::Int64>(report.DocumentsRevision.Era.Value);
   value["config"] = static_cast<Json::Int64>(report.ConfigVersion);
+  if (report.Wall)
+    value["wall_ms"] =
+        static_cast<Json::Int64>(report.Wall->time_since_epoch().count());
   for (const auto &[team, rate] : report.Demand)
     value["demand"][team.Value] = static_cast<int>(rate * 100) / 100.0;
   for (const auto &[team, share] : report.Shares)
@@ -190,6 +269,8 @@
       member(*value, "draining").isBool() && (*value)["draining"].asBool();
   report.DocumentsRevision = readRevision(*value, "documents");
   report.ConfigVersion = integerMember(*value, "config").value_or(0);
+  if (auto wall = integerMember(*value, "wall_ms"))
+    report.Wall = WallTime(Millis(*wall));
   const Json::Value &demand = member(*value, "demand");
   if (demand.isObject())
     for (const std::string &it : demand.getMemberNames())
--- a/src/savoryvm/peer_codec.h
+++ b/src/savoryvm/peer_codec.h
@@ -2,8 +2,10 @@
 #define SAVORYLB_PEER_CODEC_H
 
 #include "fleet_view.h"
+#include "load_reports.h"
 #include "savorylb/error.h"
 #include "team_ledger.h"
+#include "usage_counts.h"
 
 #include <string>
 
@@ -30,6 +32,18 @@
 /// \returns the message, or Malformed when the text is not a team message.
 Result<TeamMessage> readTeamMessage(const std::string &text);
 
+/// Serializes the loads of targets.
+std::string writeLoadReport(const LoadReport &report);
+/// Parses the loads of targets.
+/// \returns the report, or Malformed when the text is not such a report.
+Result<LoadReport> readLoadReport(const std::string &text);
+
+/// Serializes a VM's counts of usage.
+std::string writeUsageReport(const UsageReport &report);
+/// Parses a VM's counts of usage.
+/// \returns the report, or Malformed when the text is not such a report.
+Result<UsageReport> readUsageReport(const std::string &text);
+
 /// Serializes a report for other VMs.
 std::string writePeerReport(const PeerReport &report);
 /// Parses a report.
--- a/src/savoryvm/peer_link.cpp
+++ b/src/savoryvm/peer_link.cpp
@@ -14,6 +14,9 @@
 /// Bounds the cost of a round in a large fleet.
 constexpr std::size_t MaxReportsPerRound = 24;
 
+/// VMs that receive one report of loads. With more VMs in a zone, each one has
+/// more readings of others to go by.
+constexpr std::size_t MaxLoadReceivers = 16;
 /// Largest inflated datagram.
 constexpr std::size_t MaxReportBytes = 1 << 18;
 /// First byte of a text in the zlib format; the reports begin with a brace.
@@ -59,7 +62,10 @@
 
 /// \param count largest number of VMs to which the report is sent.
 void PeerLink::sendReports(std::size_t count) {
-  std::string text = writePeerReport(makePeerReport(State, monoNow()));
+  PeerReport report = makePeerReport(State, monoNow());
+  if (State.Usage)
+    report.Wall = wallNow();
+  std::string text = writePeerReport(report);
   if (Compress)
     text = deflateText(text);
   std::map<std::string, ZoneId> zones;
@@ -88,15 +94,45 @@
         "peer_report_not_sent"); // The next round sends a newer one.
 }
 
+void PeerLink::sendLoads() {
+  LoadReport report =
+      makeLoadReport(State.Targets, State.Fleet.Self.Vm, monoNow());
+  if (report.Readings.empty())
+    return;
+  std::vector<VmEntry> receivers;
+  for (const VmEntry &it : liveVms(State.Fleet, monoNow()))
+    if (it.Zone == State.Fleet.Self.Zone && it.Vm != State.Fleet.Self.Vm)
+      receivers.push_back(it);
+  std::string text = writeLoadReport(report);
+  std::size_t n = std::min(receivers.size(), MaxLoadReceivers);
+  for (std::size_t i = 0; i < n; ++i) {
+    const VmEntry &it = receivers[(NextLoadReceiver + i) % receivers.size()];
+    sendTo(udpEndpoint(it.PeerAddress), it.Zone, text);
+  }
+  NextLoadReceiver += n;
+  incrementCounter("load_reports_sent", static_cast<std::int64_t>(n));
+}
+
+const VmEntry *PeerLink::findVm(const VmId &vm) const {
+  auto entry = State.Fleet.Registered.find(vm);
+  if (entry != State.Fleet.Registered.end())
+    return &entry->second;
+  auto peer = State.Fleet.Peers.find(vm);
+  return peer != State.Fleet.Peers.end() ? &peer->second.Report.Vm : nullptr;
+}
+
+bool PeerLink::sendUsage(const VmId &holder, const UsageReport &report) {
+  const VmEntry *to = findVm(holder);
+  if (!to)
+    return false;
+  sendTo(udpEndpoint(to->PeerAddress), to->Zone,
+         deflateText(writeUsageReport(report)));
+  return true;
+}
+
 void PeerLink::sendTeamReports() {
   for (const auto &[vm, usages] : takeTeamReports(State, monoNow())) {
-    auto peer = State.Fleet.Peers.find(vm);
-    auto entry = State.Fleet.Registered.find(vm);
-    const VmEntry *to = nullptr;
-    if (entry != State.Fleet.Registered.end())
-      to = &entry->second;
-    else if (peer != State.Fleet.Peers.end())
-      to = &peer->second.Report.Vm;
+    const VmEntry *to = findVm(vm);
     if (to)
       sendTo(udpEndpoint(to->PeerAddress), to->Zone,
              writeTeamMessage({State.Fleet.Self.Vm, usages, {}}));
@@ -128,11 +164,28 @@
     applyTeamGrants(State, message.value().Grants, now);
     return;
   }
+  auto loads = readLoadReport(text);
+  if (loads) {
+    if (State.Bounds.SharedLoads)
+      applyLoadReport(State.Targets, loads.value(), now);
+    incrementCounter("load_reports_received");
+    return;
+  }
+  auto usage = readUsageReport(text);
+  if (usage) {
+    if (State.Usage)
+      applyUsageReport(State.Usage->Collection, usage.value());
+    return;
+  }
   auto report = readPeerReport(text);
-  if (report)
-    applyPeerReport(State, report.value(), now);
-  else
+  if (!report) {
     incrementCounter("peer_report_rejected");
+    return;
+  }
+  applyPeerReport(State, report.value(), now);
+  if (State.Usage && report.value().Wall)
+    recordWallClock(State.Usage->Clock, report.value().Vm.Vm,
+                    *report.value().Wall, now);
 }
 
 void PeerLink::receive() {
--- a/src/savoryvm/peer_link.h
+++ b/src/savoryvm/peer_link.h
@@ -33,12 +33,22 @@
   /// Sends this VM's report to all other VMs.
   void announce();
 
+  /// Sends the loads of targets that this VM has read since the last call to
+  /// the live VMs of its availability zone, to at most MaxLoadReceivers of them
+  /// in rotation.
+  void sendLoads();
+
+  /// Sends this VM's counts of usage to the holder of the duty.
+  /// \returns false if the holder's address is not known.
+  bool sendUsage(const VmId &holder, const UsageReport &report);
+
   /// Sends the due reports of teams' usage to the VMs that own the teams'
   /// ledgers.
   void sendTeamReports();
 
 private:
   void receive();
+  const VmEntry *findVm(const VmId &vm) const;
   void sendReports(std::size_t count);
   void onBytes(const std::string &bytes);
   void onDatagram(const std::string &text);
@@ -50,6 +60,7 @@
   asio::ip::udp::endpoint Sender;
   std::array<char, 65536> Buffer;
   std::size_t NextPeer = 0;
+  std::size_t NextLoadReceiver = 0;
   bool Compress = false;
 };
 
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -21,13 +21,6 @@
 /// or its deadline passed, and no target has run it.
 constexpr Duration NotRunRetryAfter = Millis(200);
 
-/// \returns expected number of requests at the target, for the log.
-double expectedLoad(const SteeringState &state, const TargetId &target,
-                    MonoTime now) {
-  auto it = state.Targets.find(target);
-  return it == state.Targets.end() ? 0 : expectedRequests(it->second, now);
-}
-
 } // namespace
 
 RequestProxy::RequestProxy(asio::io_context &io, SteeringState &state,
@@ -222,6 +215,7 @@
     self->onExchangeEnd(end, response);
   };
   MayHaveRun = true;
+  CurrentSend.CountedAt = countSend(State, Steered, now);
   ++SendCount;
   if (CurrentSend.LeavesZone)
     recordZoneTraffic(ZoneTraffic::Request,
@@ -236,6 +230,8 @@
   outcome.Result = result;
   outcome.Status = status;
   outcome.Load = load;
+  outcome.ResponseBytes = CurrentSend.ResponseBytes;
+  outcome.LoadsShared = State.Bounds.SharedLoads;
   outcome.Took = now - CurrentSend.SentAt;
   outcome.ExpectedMs = CurrentSend.ExpectedMs;
   outcome.ExpectedUncachedMs = CurrentSend.ExpectedUncachedMs;
@@ -266,6 +262,7 @@
 void RequestProxy::onResponse(HttpMessage &response) {
   if (CurrentSend.LeavesZone)
     recordZoneTraffic(ZoneTraffic::Response, response.Body.size());
+  CurrentSend.ResponseBytes = response.Body.size();
   platform::TargetReply reply = platform::readTargetReply(response);
   applyNotices(reply);
   if (hasAttemptId())
@@ -274,6 +271,7 @@
     CurrentSend.Connection->close();
   if (reply.NotExecuted || reply.Misdirected) {
     MayHaveRun = EarlierMayHaveRun;
+    uncountSend(State, Steered, CurrentSend.CountedAt);
     recordSendResult(reply.Misdirected ? TargetResult::Unreachable
                                        : TargetResult::Shed,
                      response.Status, reply.Load);
@@ -283,6 +281,10 @@
     return;
   }
   EarlierMayHaveRun = true;
+  auto target = State.Targets.find(CurrentSend.Target);
+  if (target != State.Targets.end())
+    recountSend(State, Steered, target->second, CurrentSend.CountedAt,
+                CurrentSend.LoadAtSend, monoNow() - CurrentSend.SentAt);
   bool success = response.Status >= 200 && response.Status < 300;
   bool intact = !reply.HasContentEncoding && (!success || reply.HasSignature);
   if (!intact) {
@@ -355,58 +357,4 @@
       0, Request->ClosedByServer ? "connection-closed" : "caller-gone", true);
 }
 
-void RequestProxy::refuse(int status, const char *reason, Duration retryAfter) {
-  if (ChargedToTeam && !MayHaveRun)
-    refundAdmission(State, Steered);
-  finish(platform::localResponse(status, reason, retryAfter), reason, true);
-}
-
-void RequestProxy::fail(int status, const char *reason) {
-  finish(platform::localResponse(status, reason, Duration::zero()), reason,
-         true);
-}
-
-void RequestProxy::finish(HttpMessage response, const char *reason,
-                          bool local) {
-  Done = true;
-  Deadline.cancel();
-  logCompletion(response.Status, reason, local);
-  auto request = Request;
-  request->OnClose = nullptr;
-  request->Respond(std::move(response));
-}
-
-void RequestProxy::logCompletion(int status, const char *reason, bool local) {
-  MonoTime now = monoNow();
-  Duration total = now - Request->ArrivedAt;
-  bool refused = local && platform::guaranteesNotRun(status);
-  EventCode code = !local                    ? EventCode::RequestDone
-                   : refused || status < 500 ? EventCode::RequestRefused
-                                             : EventCode::RequestUnknown;
-  const char *outcome = !local ? "done" : refused ? "not-run" : "unknown";
-  std::string route = Steered.Route ? Steered.Route->Id.Value : "";
-  logEvent(code, {{"trace", Metadata.AttemptId.Value},
-                  {"route", route},
-                  {"service", Steered.Service.Value},
-                  {"team", Steered.Team.Value},
-                  {"target", CurrentSend.Target.Value},
-                  {"version", CurrentSend.Version.Value},
-                  {"status", static_cast<std::int64_t>(status)},
-                  {"reason", std::string(reason)},
-                  {"sends", static_cast<std::int64_t>(SendCount)},
-                  {"config",
-                   Steered.Config ? Steered.Config->Version : std::int64_t(0)},
-                  {"store_reachable", State.Fleet.StoreReachable},
-                  {"object", Steered.Object},
-                  {"expected_ms", CurrentSend.ExpectedMs},
-                  {"load_at_send", CurrentSend.LoadAtSend},
-                  {"load_now", expectedLoad(State, CurrentSend.Target, now)},
-                  {"total_us", total.count()}});
-  Duration atTarget =
-      SendCount > 0 ? now - CurrentSend.SentAt : Duration::zero();
-  recordRequest(Steered.Team.Value, Steered.Service.Value,
-                State.Fleet.Self.Region.Value, outcome, reason, total,
-                total - atTarget);
-}
-
 } // namespace savorylb
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -32,6 +32,9 @@
     double ExpectedMs = 0;
     double ExpectedUncachedMs = 0;
     double LoadAtSend = 0;
+    std::size_t ResponseBytes = 0;
+    /// Time with which the send was counted as usage.
+    std::optional<WallTime> CountedAt;
     MonoTime SentAt{};
   };
 
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -94,6 +94,7 @@
   SteeringState state;
   state.Zones = settings.Zones;
   state.Fleet.Self = selfEntry(settings);
+  state.TieBreaker.seed(std::random_device()());
   return state;
 }
 
@@ -170,6 +171,10 @@
   setBounds(State, Settings);
   Link.compressReports(Settings.CompressReports);
   Callers.setBodyBudget(std::make_shared<ByteBudget>(RequestBudgetBytes));
+  if (Settings.Duty.UsageReporting) {
+    State.Usage.emplace();
+    Usage = std::make_unique<UsageReporter>(Io, Settings, State, Link);
+  }
   Callers.setConcurrencyRule(
       [this](const HttpMessage &it) { return mayRunConcurrently(it); });
 }
@@ -199,12 +204,17 @@
     it->delayWatches(monoNow() + StartWatchDelay);
     it->start();
   }
-  Registration.reportEras(
-      [this](StoreEra era) { onStoreEra(era, EraSource::Store); });
+  Registration.reportEras([this](StoreEra era) {
+    onStoreEra(era, EraSource::Store);
+    if (Usage)
+      Usage->onEra(era);
+  });
   // Of two VMs that start together, at least the one that registers last finds
   // the other by this list, and tells it.
   Registration.reportWritten([this] {
     SystemSync.listAgain([this] {
+      if (Usage)
+        Usage->onListed();
       State.Fleet.Complete = true;
       Link.announce();
       OperatorSync.beginWatches();
@@ -279,6 +289,13 @@
   writeRolloutStatuses(now);
   fetchFromPeer(now);
   Link.sendTeamReports();
+  if (Usage)
+    Usage->tick();
+  if (State.Bounds.SharedLoads &&
+      now - LoadsSentAt >= Settings.LoadReportInterval) {
+    LoadsSentAt = now;
+    Link.sendLoads();
+  }
   if (now - ReportedAt >= ReportInterval) {
     ReportedAt = now;
     Link.sendReports();
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -7,6 +7,7 @@
 #include "store_sync.h"
 #include "target_history.h"
 #include "target_pool.h"
+#include "usage_reporter.h"
 #include "vm_registration.h"
 #include "vm_settings.h"
 
@@ -106,6 +107,8 @@
   StoreSync TargetSync;
   StoreSync SystemSync;
   VmRegistration Registration;
+  /// Set if this deployment reports usage.
+  std::unique_ptr<UsageReporter> Usage;
   std::unique_ptr<HttpChannel> PeerChannel;
   bool PeerFetchPending = false;
   /// The VM from which documents are fetched is in another zone.
@@ -119,6 +122,7 @@
   MonoTime StoreFailedAt{};
   MonoTime StoreAwayUntil{};
   MonoTime ReportedAt{};
+  MonoTime LoadsSentAt{};
   MonoTime ReloadedAt{};
   MonoTime TickedAt{};
   /// Peak of the resident memory when it was last logged.
--- a/src/savoryvm/vm_documents.cpp
+++ b/src/savoryvm/vm_documents.cpp
@@ -196,6 +196,8 @@
       onVmEntry(it, VmId(key.Subject));
     else if (key.Kind == platform::DocumentKind::RolloutStatus)
       onRolloutStatus(it, ServiceId(key.Subject));
+    else if (key.Kind == platform::DocumentKind::Duty && Usage)
+      Usage->onDutyChange(it);
   }
 }
 
--- a/src/savoryvm/vm_shutdown.cpp
+++ b/src/savoryvm/vm_shutdown.cpp
@@ -14,6 +14,8 @@
   logEvent(EventCode::DrainStarted,
            {{"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
   Registration.stop();
+  if (Usage)
+    Usage->stop();
   Link.sendReports();
   Callers.startDrain();
 }
@@ -31,6 +33,8 @@
   // Connections on which a response is being written count as well.
   if (Callers.connections() > 0 && !graceExpired)
     return;
+  if (Usage)
+    Usage->sendCounts();
   logEvent(EventCode::DaemonStopped,
            {{"drain_ms", (now - State.Stop->RequestedAt).count() / 1000},
             {"in_flight", static_cast<std::int64_t>(Callers.inFlight())}});
