Refuse by pressure instead of priority while loads are known

Change: a module overload_control: late expected answers are allowed up to 1.5 of the target, and only 0.9 while many requests of a service meet such queues.

--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -40,9 +40,6 @@
 /// Random part of the cost relative to a cached execution. VMs that know the
 /// same loads would otherwise all choose the same target.
 constexpr double TieSpread = 0.15;
-/// Maximum expected latency of a request that has to queue while the loads of
-/// targets are known, as a fraction of the latency target.
-constexpr double KnownLoadLatencyFraction = 0.9;
 /// Cost of an uncached execution at a target that should not have the object,
 /// relative to the time that it takes longer: it occupies the slot for longer
 /// and evicts another object.
@@ -280,8 +277,8 @@
   double fraction =
       std::max(MinQueuedLatencyFraction,
                QueuedLatencyFraction - PriorityStep * request.Priority);
-  if (request.SlotMs > 0)
-    fraction = KnownLoadLatencyFraction;
+  if (request.MaxLatencyFraction > 0)
+    fraction = request.MaxLatencyFraction;
   double boundMs =
       fraction * static_cast<double>(request.LatencyTarget.count()) -
       toMs(request.Elapsed);
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -34,6 +34,9 @@
   /// Mean time for which the requests in a target's queue hold a slot; 0 to use
   /// CachedMs.
   double SlotMs = 0;
+  /// Largest expected latency of a request that has to queue, as a fraction of
+  /// the latency target; 0 to derive it from the priority.
+  double MaxLatencyFraction = 0;
   ReplicaLimits Replicas;
   /// Recent requests for objects; null without replicas.
   ObjectDemands *Demands = nullptr;
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -228,6 +228,8 @@
   query.UncachedMs = mean.UncachedMs;
   if (state.Bounds.SharedLoads)
     query.SlotMs = service.SlotMs;
+  if (state.Bounds.OverloadControl)
+    query.MaxLatencyFraction = latencyBound(service.Overload);
   if (state.Bounds.ObjectReplicas > 1) {
     query.Replicas = {state.Bounds.ObjectReplicas, state.Bounds.CachedObjects};
     query.Demands = &service.Demands;
@@ -239,6 +241,11 @@
       countObjectRequest(service.Demands, query.Object, now);
   }
   PlacementChoice choice = placeRequest(query, candidates.Usable, now);
+  if (state.Bounds.OverloadControl && request.Tried.empty())
+    recordPressure(
+        service.Overload,
+        choice.ExpectedMs /
+            std::max(1.0, static_cast<double>(query.LatencyTarget.count())));
   choice = limitRegionReturn(state, query, candidates.Usable, choice, now);
   if (state.Bounds.ObjectReplicas > 1)
     choice = limitRegionOutflow(state, query, candidates.Usable, choice, now);
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -3,6 +3,7 @@
 
 #include "fleet_view.h"
 #include "object_replicas.h"
+#include "overload_control.h"
 #include "placement_policy.h"
 #include "planned_stop.h"
 #include "region_shares.h"
@@ -87,6 +88,7 @@
   ObjectDemands Demands;
   /// Mean time for which a request of any route holds a slot; 0 if not known.
   double SlotMs = 0;
+  OverloadState Overload;
   /// Mean size of a response in bytes.
   std::map<RouteId, double> ResponseBytes;
   /// Requests that this VM may send to the new version.
