Reserve slots for urgent requests, and let long ones wait in the VM

Cause: a request of 2.5 s and low priority takes a slot whenever one is free, so short urgent requests of the same service wait behind it at the target. Change: slot_reservation leaves a part of each target's slots to more urgent requests that hold slots for at most half as long, by their recent demand; a long request waits in the VM for up to 0.3 of its latency target.

--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -1,6 +1,7 @@
 #include "placement_policy.h"
 
 #include "savorylb/hash.h"
+#include "slot_reservation.h"
 
 #include <algorithm>
 #include <array>
@@ -81,9 +82,10 @@
   bool cached = !request.Object.empty() && (rank >= 0 || known);
   double work = slow * (cached ? request.CachedMs : request.UncachedMs);
   double slotMs = request.SlotMs > 0 ? request.SlotMs : request.CachedMs;
-  double queued = std::max(0.0, requests + 1 - slots) / slots * slow * slotMs;
+  double usable = std::max(1.0, slots * (1 - request.ReservedFraction));
+  double queued = std::max(0.0, requests + 1 - usable) / slots * slow * slotMs;
   Estimate result;
-  result.FreeSlot = requests + 1 <= slots;
+  result.FreeSlot = requests + 1 <= usable;
   result.LatencyMs = candidate.RoundTripMs + work + queued;
   if (!target.InFlight.empty()) {
     double oldest = toMs(now - target.InFlight.front());
@@ -272,6 +274,15 @@
     choice.RetryAfter = MaxRetryAfter;
     return choice;
   }
+  if (request.ReservedFraction > 0 && !best.FreeSlot &&
+      toMs(request.Elapsed) <
+          DeferFraction * static_cast<double>(request.LatencyTarget.count())) {
+    choice.Target = nullptr;
+    choice.Reason = "reserved";
+    choice.Defer = DeferInterval;
+    choice.RetryAfter = MinRetryAfter;
+    return choice;
+  }
   choice.ExpectedMs = best.LatencyMs;
   choice.ExpectedUncachedMs = best.UncachedMs;
   double fraction =
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -37,6 +37,8 @@
   /// Largest expected latency of a request that has to queue, as a fraction of
   /// the latency target; 0 to derive it from the priority.
   double MaxLatencyFraction = 0;
+  /// Part of each target's slots that is left to more urgent requests.
+  double ReservedFraction = 0;
   ReplicaLimits Replicas;
   /// Recent requests for objects; null without replicas.
   ObjectDemands *Demands = nullptr;
@@ -65,8 +67,11 @@
   double ExpectedUncachedMs = 0;
   /// Delay after which a refused request is likely to be served.
   Duration RetryAfter{0};
-  /// `no-target`, `overload`, `paused`, `stopping` or empty.
+  /// `no-target`, `overload`, `paused`, `reserved`, `stopping` or empty.
   const char *Reason = "";
+  /// There is no target yet: the request should be placed again after this
+  /// time, when an unreserved slot may be free. 0 otherwise.
+  Duration Defer{0};
   /// There is no target because all that are left are paused.
   bool AllPaused = false;
 };
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -136,6 +136,13 @@
   return found;
 }
 
+int totalSlots(const std::vector<PlacementCandidate> &candidates) {
+  int slots = 0;
+  for (const PlacementCandidate &it : candidates)
+    slots += std::max(1, it.Target->Entry.Slots);
+  return slots;
+}
+
 /// Limits how fast requests return to this VM's region at the end of a burst
 /// during which they ran in other regions. While the limit is reached, a
 /// request stays in another region if it is expected to finish in time there.
@@ -228,8 +235,18 @@
   query.UncachedMs = mean.UncachedMs;
   if (state.Bounds.SharedLoads)
     query.SlotMs = service.SlotMs;
-  if (state.Bounds.OverloadControl)
+  bool first = !request.Counted;
+  request.Counted = true;
+  if (state.Bounds.OverloadControl) {
     query.MaxLatencyFraction = latencyBound(service.Overload);
+    if (first)
+      countPriority(service.Priorities, query.Priority, mean.CachedMs, now);
+    if (state.Deferred < MaxDeferred && request.Tried.empty())
+      query.ReservedFraction =
+          reservedFraction(service.Priorities, query.Priority, mean.CachedMs,
+                           static_cast<int>(state.Fleet.Registered.size()) + 1,
+                           totalSlots(candidates.Usable), now);
+  }
   if (state.Bounds.ObjectReplicas > 1) {
     query.Replicas = {state.Bounds.ObjectReplicas, state.Bounds.CachedObjects};
     query.Demands = &service.Demands;
@@ -237,10 +254,12 @@
         static_cast<int>(storeWatchers(state.Fleet, query.Region, now).size());
     query.ResponseBytes = service.ResponseBytes[request.Route->Id];
     query.Draw = state.TieBreaker();
-    if (request.Tried.empty())
+    if (first)
       countObjectRequest(service.Demands, query.Object, now);
   }
   PlacementChoice choice = placeRequest(query, candidates.Usable, now);
+  if (choice.Defer > Duration::zero())
+    return choice;
   if (state.Bounds.OverloadControl && request.Tried.empty())
     recordPressure(
         service.Overload,
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -10,6 +10,7 @@
 #include "retry_window.h"
 #include "rollout_stage.h"
 #include "rollout_trial.h"
+#include "slot_reservation.h"
 #include "steer_config.h"
 #include "target_availability.h"
 #include "target_state.h"
@@ -89,6 +90,8 @@
   /// Mean time for which a request of any route holds a slot; 0 if not known.
   double SlotMs = 0;
   OverloadState Overload;
+  /// Recent requests by priority, while overload control is on.
+  PriorityDemands Priorities;
   /// Mean size of a response in bytes.
   std::map<RouteId, double> ResponseBytes;
   /// Requests that this VM may send to the new version.
@@ -126,6 +129,8 @@
   std::minstd_rand TieBreaker;
   /// Set if this deployment reports usage.
   std::optional<UsageTracking> Usage;
+  /// Requests that wait in this VM for an unreserved slot.
+  int Deferred = 0;
   /// Credit of each split of a route for weighted round robin.
   std::map<RouteId, std::map<ServiceId, double>> SplitCredit;
 };
@@ -145,6 +150,8 @@
   MonoTime Deadline{};
   /// Whether the new version of a rollout serves it.
   bool UsesNewVersion = false;
+  /// The request was counted in the demands by which others are placed.
+  bool Counted = false;
   /// Whether UsesNewVersion was decided.
   bool VersionChosen = false;
   std::vector<TargetId> Tried;
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -28,7 +28,7 @@
                            std::shared_ptr<ServedRequest> request)
     : State(state), Pool(pool), Request(std::move(request)),
       Body(std::make_shared<std::string>(std::move(Request->Message.Body))),
-      Deadline(io) {}
+      Deadline(io), DeferTimer(io) {}
 
 void RequestProxy::start() {
   Metadata = platform::readCallerMetadata(Request->Message);
@@ -72,6 +72,10 @@
 void RequestProxy::place() {
   MonoTime now = monoNow();
   PlacementChoice choice = chooseTarget(State, Steered, now);
+  if (choice.Defer > Duration::zero()) {
+    defer(choice.Defer);
+    return;
+  }
   if (!choice.Target) {
     CurrentSend.ExpectedMs = choice.ExpectedMs; // For the log.
     refuse(503, choice.Reason, choice.RetryAfter);
@@ -80,6 +84,22 @@
   send(choice);
 }
 
+void RequestProxy::defer(Duration pause) {
+  ++State.Deferred;
+  incrementCounter("requests_deferred");
+  DeferTimer.expires_after(pause);
+  auto self = shared_from_this();
+  DeferTimer.async_wait([self](const boost::system::error_code &) {
+    --self->State.Deferred;
+    if (self->Done)
+      return;
+    if (self->tooLateToSend())
+      self->refuse(503, "timeout", NotRunRetryAfter);
+    else
+      self->place();
+  });
+}
+
 void RequestProxy::send(const PlacementChoice &choice) {
   MonoTime now = monoNow();
   TargetState &target = *choice.Target;
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -42,6 +42,8 @@
   ///          request for which they cannot uses a connection of its own.
   bool hasAttemptId() const { return !Metadata.AttemptId.empty(); }
   void place();
+  /// Places the request again after a pause.
+  void defer(Duration pause);
   void send(const PlacementChoice &choice);
   void onConnected(std::shared_ptr<HttpConnection> connection);
   /// Places the request again after its target became unusable before
@@ -76,6 +78,8 @@
   /// Body of the request; all sends share it.
   std::shared_ptr<const std::string> Body;
   asio::steady_timer Deadline;
+  /// Places a request again that waits for an unreserved slot.
+  asio::steady_timer DeferTimer;
   platform::CallerMetadata Metadata;
   SteeredRequest Steered;
   Send CurrentSend;
