--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -256,9 +256,7 @@
                       : objectRanks(request.Object, request.Region, candidates);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const PlacementCandidate &it = candidates[i];
-    if (wasTried(request, it.Target->Entry.Id) ||
-        (!request.AvoidedRegion.empty() &&
-         it.Target->Region == request.AvoidedRegion))
+    if (wasTried(request, it.Target->Entry.Id))
       continue;
     Estimate found = estimate(request, it, ranks[i], now);
     if (!choice.Target || found.Cost < best.Cost) {
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -46,8 +46,6 @@
   int RegionVms = 1;
   /// Expected size of the response.
   double ResponseBytes = 0;
-  /// Region whose targets are not used; empty for none.
-  RegionId AvoidedRegion;
   /// Random number that breaks ties between targets.
   std::uint64_t Draw = 0;
 };
--- a/src/libsavorysteer/region_shares.cpp
+++ b/src/libsavorysteer/region_shares.cpp
@@ -41,7 +41,7 @@
 }
 
 bool mayIncreaseShare(const RegionShares &shares, const RegionId &region,
-                      MonoTime now, double maxIncrease) {
+                      MonoTime now) {
   auto it = shares.Shares.find(region);
   if (it == shares.Shares.end() || now - shares.StartedAt < UnlimitedAfterStart)
     return true;
@@ -55,7 +55,7 @@
   if (recent <= 0 || longTerm <= 0)
     return true;
   return it->second.Recent / recent <=
-         it->second.LongTerm / longTerm + maxIncrease;
+         it->second.LongTerm / longTerm + MaxShareIncrease;
 }
 
 } // namespace savorylb
--- a/src/libsavorysteer/region_shares.h
+++ b/src/libsavorysteer/region_shares.h
@@ -27,18 +27,12 @@
 /// next; the long-term share follows by a few hundredths in that time.
 constexpr double MaxShareIncrease = 0.03;
 
-/// The same for a region that receives requests of another region. A VM sends
-/// few requests in 2 s, so its shares vary by some hundredths by chance; over
-/// all VMs, the share must not rise by 0.15 in that time.
-constexpr double MaxOutflowIncrease = 0.1;
-
 /// Records that a request is sent to a region.
 void recordRegion(RegionShares &shares, const RegionId &region, MonoTime now);
 
-/// \param maxIncrease how far the recent share may exceed the long-term share.
 /// \returns whether the region may receive a larger share of the requests.
 bool mayIncreaseShare(const RegionShares &shares, const RegionId &region,
-                      MonoTime now, double maxIncrease = MaxShareIncrease);
+                      MonoTime now);
 
 } // namespace savorylb
 
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -168,22 +168,6 @@
                                                                  : choice;
 }
 
-/// Limits how fast requests of this VM move to another region. While the limit
-/// is reached, a request uses the targets of the other regions or is refused.
-PlacementChoice
-limitRegionOutflow(const SteeringState &state, PlacementRequest query,
-                   const std::vector<PlacementCandidate> &candidates,
-                   const PlacementChoice &choice, MonoTime now) {
-  if (!choice.Target || choice.Target->Region == state.Fleet.Self.Region ||
-      mayIncreaseShare(state.Regions, choice.Target->Region, now,
-                       MaxOutflowIncrease))
-    return choice;
-  query.AvoidedRegion = choice.Target->Region;
-  PlacementChoice other = placeRequest(query, candidates, now);
-  // Without any other target, the region's own may be lost.
-  return other.ExpectedMs > 0 ? other : choice;
-}
-
 /// Refuses a request that would be cut off by the end of this VM.
 PlacementChoice refuseBeforeStop(const SteeringState &state,
                                  const SteeredRequest &request,
@@ -266,8 +250,6 @@
         choice.ExpectedMs /
             std::max(1.0, static_cast<double>(query.LatencyTarget.count())));
   choice = limitRegionReturn(state, query, candidates.Usable, choice, now);
-  if (state.Bounds.ObjectReplicas > 1)
-    choice = limitRegionOutflow(state, query, candidates.Usable, choice, now);
   return refuseBeforeStop(state, request, choice, now);
 }
 
