Hold the duty only with the lease of its own claim

Cause: a VM that read its claim back after a lost answer took the claim of an earlier, late attempt for the new one. That claim ends with the earlier lease, which nobody renews, so another VM could claim while this one still acted. News of a slower VM could bring back a removed claim. Without fencing, a VM that did not see the last holder sent at once. A new era in an answer about the record left the duty held. After a slow claim or a refused renewal, the next renewal came too late. Change: the claim names its lease, and only that lease is accepted when it is read back. News are ordered by position after a removal too. Without fencing every new holder is quiet. Every era seen is passed to the duty. The changes in duty_keeper.cpp have no test of their own yet.

--- a/src/libsavorysteer/duty_lease.cpp
+++ b/src/libsavorysteer/duty_lease.cpp
@@ -39,16 +39,12 @@
 std::optional<DutyLoss> noteClaim(DutyState &duty,
                                   const std::optional<DutyClaim> &claim,
                                   StorePosition at, MonoTime now) {
-  const DutyClaim *newest = duty.Held    ? &*duty.Held
-                            : duty.Known ? &*duty.Known
-                                         : nullptr;
-  if (newest && at < newest->Position)
+  if (at < duty.KnownAt)
     return std::nullopt;
+  duty.KnownAt = at;
   bool vacated = !claim && (duty.Known || !duty.Listed);
   duty.Listed = true;
   duty.Known = claim;
-  if (claim)
-    duty.LastHolder = claim->Vm;
   if (vacated)
     duty.VacantSince = now;
   if (!duty.Held || (claim && claim->Position == duty.Held->Position))
@@ -69,17 +65,22 @@
          std::clamp(rank, 0, MaxClaimRank) * ClaimInterval;
 }
 
-void gainDuty(DutyState &duty, StorePosition position, MonoTime leaseUntil,
-              MonoTime now) {
-  bool sameVm = duty.LastHolder.empty() || duty.LastHolder == duty.Self;
+bool isOwnClaim(const DutyState &duty, const DutyClaim &claim,
+                std::int64_t lease) {
+  return claim.Vm == duty.Self && claim.StartId == duty.StartId &&
+         claim.Lease == lease;
+}
+
+void gainDuty(DutyState &duty, std::int64_t lease, StorePosition position,
+              MonoTime leaseUntil, MonoTime now) {
   // Without the platform's check, a call of the last holder that is executed
-  // late would arrive after one with this higher token.
-  duty.QuietUntil = duty.Limits.Fencing || sameVm
-                        ? now
-                        : now + duty.Limits.Lease + duty.Limits.Margin;
-  duty.Held = DutyClaim{duty.Self, duty.StartId, position};
+  // late would arrive after one with this higher token. A VM that was cut off
+  // from the store may not have seen who that was.
+  duty.QuietUntil =
+      duty.Limits.Fencing ? now : now + duty.Limits.Lease + duty.Limits.Margin;
+  duty.Held = DutyClaim{duty.Self, duty.StartId, lease, position};
   duty.Known = duty.Held;
-  duty.LastHolder = duty.Self;
+  duty.KnownAt = std::max(duty.KnownAt, position);
   duty.ValidUntil = leaseUntil;
 }
 
--- a/src/libsavorysteer/duty_lease.h
+++ b/src/libsavorysteer/duty_lease.h
@@ -28,6 +28,9 @@
   VmId Vm;
   /// Distinguishes the process starts of one VM.
   std::string StartId;
+  /// Lease that the claim's key is attached to. Tells the attempts of one
+  /// process to claim apart.
+  std::int64_t Lease = 0;
   /// Position at which the claim was written.
   StorePosition Position;
 };
@@ -52,12 +55,12 @@
   DutyLimits Limits;
   /// The claim that the store is known to hold.
   std::optional<DutyClaim> Known;
+  /// Position of the newest news of the key, or of this VM's claim.
+  StorePosition KnownAt;
   /// The key of the claim was listed, or a change of it was seen.
   bool Listed = false;
   /// Since when Known is empty.
   MonoTime VacantSince{};
-  /// The last holder known, to tell whether another VM held the duty before.
-  VmId LastHolder;
   /// This VM's claim while it holds the duty.
   std::optional<DutyClaim> Held;
   /// Until when the lease is known to run.
@@ -70,7 +73,7 @@
 };
 
 /// Records the claim that a watch of the store, or a read, has shown. News that
-/// are older than the known claim, as a followed VM may send them, change
+/// are older than the known ones, as a followed VM may send them, change
 /// nothing.
 /// \param claim nothing if the key does not exist.
 /// \param at position of the claim, or of its removal.
@@ -84,10 +87,16 @@
 ///          wait for those before them.
 bool claimDue(const DutyState &duty, int rank, MonoTime now);
 
+/// \returns whether a claim is the one that this process attached to a lease. A
+///          claim of an earlier attempt ends with that attempt's lease, which
+///          nobody renews.
+bool isOwnClaim(const DutyState &duty, const DutyClaim &claim,
+                std::int64_t lease);
+
 /// Records that this VM's claim is in the store.
 /// \param leaseUntil end of the lease, counted from when it was requested.
-void gainDuty(DutyState &duty, StorePosition position, MonoTime leaseUntil,
-              MonoTime now);
+void gainDuty(DutyState &duty, std::int64_t lease, StorePosition position,
+              MonoTime leaseUntil, MonoTime now);
 
 /// Records that the store has renewed the lease.
 /// \param sentAt when the renewal was sent, not when it was answered.
@@ -99,9 +108,9 @@
 bool renewalDue(const DutyState &duty, MonoTime sentAt, MonoTime now);
 
 /// \returns whether the known claim is one of this process start although it
-/// does
-///          not hold the duty, so that the key should be removed: the claim was
-///          given up, or the store came back from an older copy with it.
+///          does not hold the duty, so that the key should be removed: the
+///          claim was given up or executed late, or the store came back from an
+///          older copy with it.
 bool isAbandonedClaim(const DutyState &duty);
 
 /// Gives the duty up. This VM does not claim it again within a lease.
--- a/src/savoryvm/duty_keeper.cpp
+++ b/src/savoryvm/duty_keeper.cpp
@@ -26,15 +26,14 @@
   Channel.call(request, CallTimeout,
                [this, done](const Result<HttpMessage> &response) {
                  Busy = false;
-                 noteEra(response);
+                 if (response)
+                   onEra(platform::readStoreEra(response.value()));
                  done(response);
                });
 }
 
-void DutyKeeper::noteEra(const Result<HttpMessage> &response) {
-  if (!response)
-    return;
-  Era = std::max(Era, platform::readStoreEra(response.value()));
+void DutyKeeper::onEra(StoreEra era) {
+  Era = std::max(Era, era);
   if (Duty.Held && Era > Duty.Held->Position.Era)
     lose(DutyLoss::NewEra);
 }
@@ -49,7 +48,7 @@
   if (!item.Removed) {
     auto read = platform::readDutyClaim(item.Value, item.ModRevision);
     // An unreadable claim is one of an unknown holder.
-    claim = read ? read.value() : DutyClaim{VmId("?"), "", item.ModRevision};
+    claim = read ? read.value() : DutyClaim{VmId("?"), "", 0, item.ModRevision};
   }
   auto held = Duty.Held;
   auto reason = noteClaim(Duty, claim, item.ModRevision, monoNow());
@@ -99,24 +98,24 @@
            return; // The lease, if any, lapses.
          auto lease = platform::readLease(response.value());
          if (lease && !Duty.Stopping)
-           putClaim(lease.value().Id, sentAt, lease.value().Ttl);
+           putClaim({lease.value().Id, sentAt, lease.value().Ttl});
        });
 }
 
-void DutyKeeper::putClaim(std::int64_t lease, MonoTime leaseSentAt,
-                          Duration ttl) {
+void DutyKeeper::putClaim(const Grant &grant) {
   platform::StorePut put;
   put.Key = Key;
-  put.Value = platform::writeDutyClaim(Duty.Self, Duty.StartId);
-  put.Lease = lease;
+  put.Value =
+      platform::writeDutyClaim({Duty.Self, Duty.StartId, grant.Lease, {}});
+  put.Lease = grant.Lease;
   put.Conditional = true;
   recordStoreCall(StoreCall::Write);
   call(platform::putRequest(put),
-       [this, lease, leaseSentAt, ttl](const Result<HttpMessage> &response) {
+       [this, grant](const Result<HttpMessage> &response) {
          if (response) {
            auto position = platform::readPutRevision(response.value());
            if (position) {
-             gain(position.value(), lease, leaseSentAt + ttl);
+             gain(position.value(), grant);
              return;
            }
            if (position.error().Code == ErrorCode::NotFound ||
@@ -124,15 +123,14 @@
              return;
          }
          // Another VM's claim came first, or the answer was lost.
-         findClaim(lease, leaseSentAt, ttl);
+         findClaim(grant);
        });
 }
 
-void DutyKeeper::findClaim(std::int64_t lease, MonoTime leaseSentAt,
-                           Duration ttl) {
+void DutyKeeper::findClaim(const Grant &grant) {
   recordStoreCall(StoreCall::List);
   call(platform::getRequest(Key),
-       [this, lease, leaseSentAt, ttl](const Result<HttpMessage> &response) {
+       [this, grant](const Result<HttpMessage> &response) {
          if (!response)
            return;
          auto item = platform::readItem(response.value());
@@ -140,22 +138,21 @@
            return; // A claim that the store executes later becomes abandoned.
          auto found = platform::readDutyClaim(item.value().Value,
                                               item.value().ModRevision);
-         if (found && found.value().Vm == Duty.Self &&
-             found.value().StartId == Duty.StartId)
-           gain(item.value().ModRevision, lease, leaseSentAt + ttl);
+         if (found && isOwnClaim(Duty, found.value(), grant.Lease))
+           gain(item.value().ModRevision, grant);
          else
            onChange(item.value());
        });
 }
 
-void DutyKeeper::gain(StorePosition position, std::int64_t lease,
-                      MonoTime leaseUntil) {
+void DutyKeeper::gain(StorePosition position, const Grant &grant) {
   MonoTime now = monoNow();
+  MonoTime leaseUntil = grant.SentAt + grant.Ttl;
   if (position.Era < Era || now >= leaseUntil || Duty.Stopping)
     return; // The claim is abandoned, and is removed when a watch shows it.
-  gainDuty(Duty, position, leaseUntil, now);
-  Lease = lease;
-  RenewalSentAt = now;
+  gainDuty(Duty, grant.Lease, position, leaseUntil, now);
+  Lease = grant.Lease;
+  RenewalSentAt = grant.SentAt;
   setGauge("duty_held", 1);
   logEvent(EventCode::DutyGained,
            {{"duty", Key},
@@ -172,15 +169,21 @@
   call(platform::renewLeaseRequest(Lease),
        [this, sentAt,
         claimed = Duty.Held->Position](const Result<HttpMessage> &response) {
-         if (!response || !Duty.Held || Duty.Held->Position != claimed) {
-           RenewalSentAt = sentAt - Duty.Limits.Lease; // Repeat at once.
+         if (!Duty.Held || Duty.Held->Position != claimed)
            return;
-         }
-         auto lease = platform::readLease(response.value());
-         if (lease)
+         auto lease = response ? platform::readLease(response.value())
+                               : Result<platform::StoreLease>(
+                                     failure(ErrorCode::Unknown, "no answer"));
+         if (lease) {
            renewDuty(Duty, sentAt, lease.value().Ttl);
-         else if (lease.error().Code == ErrorCode::NotFound)
+         } else if (lease.error().Code == ErrorCode::NotFound) {
            lose(DutyLoss::Expired);
+         } else {
+           // Waiting for the next third of the lease would leave no time for
+           // another attempt.
+           RenewalSentAt = sentAt - Duty.Limits.Lease;
+           NextTryAt = sentAt + RetryPause;
+         }
        });
 }
 
--- a/src/savoryvm/duty_keeper.h
+++ b/src/savoryvm/duty_keeper.h
@@ -26,6 +26,9 @@
     OnLost = std::move(lost);
   }
 
+  /// Notes the era of an answer of the store.
+  void onEra(StoreEra era);
+
   /// Applies a change of the claim's key that a watch has shown.
   void onChange(const platform::StoreItem &item);
 
@@ -45,14 +48,20 @@
   const DutyState &duty() const { return Duty; }
 
 private:
+  /// A lease that the store has granted.
+  struct Grant {
+    std::int64_t Lease = 0;
+    MonoTime SentAt{};
+    Duration Ttl{0};
+  };
+
   void claim();
-  void putClaim(std::int64_t lease, MonoTime leaseSentAt, Duration ttl);
-  void findClaim(std::int64_t lease, MonoTime leaseSentAt, Duration ttl);
-  void gain(StorePosition position, std::int64_t lease, MonoTime leaseUntil);
+  void putClaim(const Grant &grant);
+  void findClaim(const Grant &grant);
+  void gain(StorePosition position, const Grant &grant);
   void renew();
   void removeClaim(StorePosition position);
   void lose(DutyLoss reason);
-  void noteEra(const Result<HttpMessage> &response);
   void call(const HttpMessage &request, const HttpChannel::Done &done);
 
   HttpChannel Channel;
--- a/src/savoryvm/usage_reporter.cpp
+++ b/src/savoryvm/usage_reporter.cpp
@@ -49,6 +49,7 @@
 }
 
 void UsageReporter::onEra(StoreEra era) {
+  Keeper.onEra(era);
   if (EraSeenAt && era <= Era)
     return;
   Era = era;
@@ -116,6 +117,8 @@
   Store.call(platform::getRequest(platform::SettledUsageKey), StoreTimeout,
              [this](const Result<HttpMessage> &response) {
                StoreBusy = false;
+               if (response)
+                 onEra(platform::readStoreEra(response.value()));
                if (!response || !Keeper.duty().Held)
                  return;
                auto item = platform::readItem(response.value());
@@ -174,6 +177,8 @@
       platform::putRequest(put), StoreTimeout,
       [this, record, step](const Result<HttpMessage> &response) {
         StoreBusy = false;
+        if (response)
+          onEra(platform::readStoreEra(response.value()));
         if (!Keeper.duty().Held)
           return;
         auto position = response ? platform::readPutRevision(response.value())
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -193,8 +193,11 @@
                                       {"address", Settings.CallerAddress}});
   StoreAnsweredAt = monoNow();
   for (StoreSync *it : {&OperatorSync, &TargetSync, &SystemSync}) {
-    it->reportEras(
-        [this](StoreEra era, EraSource source) { onStoreEra(era, source); });
+    it->reportEras([this](StoreEra era, EraSource source) {
+      onStoreEra(era, source);
+      if (Usage && source == EraSource::Store)
+        Usage->onEra(era);
+    });
     it->reportUpdateSizes([this](const std::string &vm, std::size_t n) {
       if (isInOtherZone(State.Fleet, vm))
         recordZoneTraffic(ZoneTraffic::Documents, n);
