Keep the corrected clock while old reports are read after a pause

Cause: reports wait in the socket while a VM is paused. Their wall clocks are compared with the time of reading, so the median fell back by the pause and requests were counted in earlier windows.

--- a/src/libsavorysteer/fleet_clock.h
+++ b/src/libsavorysteer/fleet_clock.h
@@ -20,6 +20,10 @@
   std::map<VmId, Sample> Others;
   /// Wall clock minus time since boot, as used.
   std::optional<Duration> Offset;
+  /// Offset is a median, not the own clock.
+  bool Agreed = false;
+  /// Since when the median has differed from Offset.
+  std::optional<MonoTime> DiffersSince;
 };
 
 /// Records the wall clock that another VM has reported.
@@ -28,8 +32,8 @@
 
 /// Sets the clock to the median of the recent wall clocks, including this VM's
 /// own; to the own one while fewer than three others are known. A median that
-/// differs little from the clock does not change it.
-/// \param own this VM's wall clock.
+/// differs little from the clock, or only for a few seconds, does not change
+/// it. \param own this VM's wall clock.
 void updateFleetClock(FleetClock &clock, WallTime own, MonoTime now);
 
 /// \returns the corrected wall clock; the epoch before the first update.
