Keep windows of wrong clocks out of the usage counts

Cause: only the newest six windows are kept. A VM whose clock was ahead for a moment displaced its own later windows, and with one datagram those of all VMs at the holder. A holder that started again and claimed again got only the windows that changed, as its name was the same. Change: windows more than two ahead of the present one are neither kept nor accepted. All windows are sent again to each new claim. Sending again to a new claim has no test yet.

--- a/src/libsavorysteer/usage_counts.cpp
+++ b/src/libsavorysteer/usage_counts.cpp
@@ -3,6 +3,9 @@
 namespace savorylb {
 namespace {
 
+/// Clocks may differ by some seconds before they are corrected.
+constexpr UsageWindow WindowsAhead(2);
+
 template <typename Map> void retainNewest(Map &windows) {
   while (windows.size() > RetainedWindows)
     windows.erase(windows.begin());
@@ -18,6 +21,10 @@
   return WallTime((window.Value + 1) * length);
 }
 
+UsageWindow newestWindow(WallTime now, Millis length) {
+  return windowAt(now, length) + WindowsAhead;
+}
+
 void countUsage(UsageCounts &counts, const TeamId &team, WallTime begin) {
   UsageWindow window = windowAt(begin, counts.Length);
   bool old = counts.Windows.size() >= RetainedWindows &&
@@ -41,6 +48,11 @@
   window->second.ChangedAt = ++counts.Sequence;
 }
 
+void forgetLaterWindows(UsageCounts &counts, UsageWindow newest) {
+  counts.Windows.erase(counts.Windows.upper_bound(newest),
+                       counts.Windows.end());
+}
+
 UsageReport makeUsageReport(const UsageCounts &counts, const VmId &vm,
                             const std::string &startId, std::int64_t after) {
   UsageReport report{vm, startId, counts.Sequence, {}};
@@ -50,8 +62,11 @@
   return report;
 }
 
-void applyUsageReport(UsageCollection &collection, const UsageReport &report) {
+void applyUsageReport(UsageCollection &collection, const UsageReport &report,
+                      UsageWindow newest) {
   for (const auto &[window, counts] : report.Windows) {
+    if (window > newest)
+      continue;
     UsageCollection::WindowOfStart &known =
         collection.Windows[window][{report.Vm, report.StartId}];
     if (report.Sequence < known.Sequence)
--- a/src/libsavorysteer/usage_counts.h
+++ b/src/libsavorysteer/usage_counts.h
@@ -23,6 +23,11 @@
 /// \returns the end of a window.
 WallTime windowEnd(UsageWindow window, Millis length);
 
+/// \returns the last window that is counted at a time. VMs whose clocks have
+/// not
+///          been corrected yet report windows a little ahead.
+UsageWindow newestWindow(WallTime now, Millis length);
+
 /// Requests that this VM's targets began to run, by the window in which they
 /// began.
 struct UsageCounts {
@@ -48,6 +53,10 @@
 /// \param begin the time with which it was counted.
 void uncountUsage(UsageCounts &counts, const TeamId &team, WallTime begin);
 
+/// Forgets windows after the newest one, which were counted before the clock
+/// was set back. They would displace the windows to come.
+void forgetLaterWindows(UsageCounts &counts, UsageWindow newest);
+
 /// A VM's counts of some windows. The counts are absolute, so a lost or
 /// repeated report does no harm.
 struct UsageReport {
@@ -79,7 +88,10 @@
 
 /// Applies a VM's report; windows that a newer report covered are not changed.
 /// Forgets the oldest window when there are more than RetainedWindows.
-void applyUsageReport(UsageCollection &collection, const UsageReport &report);
+/// \param newest last window to accept, so that a VM whose clock is ahead does
+///        not displace the windows of the others.
+void applyUsageReport(UsageCollection &collection, const UsageReport &report,
+                      UsageWindow newest);
 
 /// \returns the requests of each team in a window, over all VMs.
 TeamCounts sumUsage(const UsageCollection &collection, UsageWindow window);
--- a/src/savoryvm/peer_codec_test.cpp
+++ b/src/savoryvm/peer_codec_test.cpp
@@ -75,3 +75,24 @@
   DOUBLES_EQUAL(0.125, grant.Share, 0.001);
   DOUBLES_EQUAL(3.5, grant.Tokens, 0.01);
 }
+
+// Guards against counts that are lost or changed on the way to the holder.
+TEST(PeerCodec, UsageReportRoundTrips) {
+  UsageReport report{VmId("vm-1"), "s1", 42, {}};
+  report.Windows[UsageWindow(9)] = {{TeamId("port"), 412}};
+  std::string text = writeUsageReport(report);
+  auto read = readUsageReport(text);
+  CHECK_TRUE(read && writeUsageReport(read.value()) == text);
+  LONGS_EQUAL(412, read.value().Windows.at(UsageWindow(9)).at(TeamId("port")));
+  CHECK_FALSE(readUsageReport(R"({"usage":{"vm":"a","start":"s"}})"));
+}
+
+// Guards against a wall clock that is lost, or sent while the duty is off.
+TEST(PeerCodec, ReportCarriesTheWallClockOnlyIfSet) {
+  PeerReport report;
+  report.Vm = {VmId("a"), {}, {}, "127.0.0.1:8001", "127.0.0.1:8004", "s1"};
+  CHECK_TRUE(writePeerReport(report).find("wall") == std::string::npos);
+  report.Wall = WallTime(Millis(1'767'225'600'123));
+  auto read = readPeerReport(writePeerReport(report));
+  CHECK_TRUE(read && read.value().Wall == report.Wall);
+}
--- a/src/savoryvm/peer_link.cpp
+++ b/src/savoryvm/peer_link.cpp
@@ -174,7 +174,9 @@
   auto usage = readUsageReport(text);
   if (usage) {
     if (State.Usage)
-      applyUsageReport(State.Usage->Collection, usage.value());
+      applyUsageReport(State.Usage->Collection, usage.value(),
+                       newestWindow(fleetTime(State.Usage->Clock, now),
+                                    State.Usage->Counts.Length));
     return;
   }
   auto report = readPeerReport(text);
--- a/src/savoryvm/usage_reporter.cpp
+++ b/src/savoryvm/usage_reporter.cpp
@@ -76,9 +76,15 @@
   return before;
 }
 
+UsageWindow UsageReporter::newestWindow() const {
+  return savorylb::newestWindow(fleetTime(State.Usage->Clock, monoNow()),
+                                Schedule.Length);
+}
+
 void UsageReporter::tick() {
   MonoTime now = monoNow();
   updateFleetClock(State.Usage->Clock, wallNow(), now);
+  forgetLaterWindows(State.Usage->Counts, newestWindow());
   Keeper.tick(Keeper.duty().Known || Keeper.duty().Held ? 0 : rank());
   if (now - CountsSentAt >= CountsInterval)
     sendCounts();
@@ -92,7 +98,8 @@
   if (!Keeper.duty().Known)
     return;
   const VmId &holder = Keeper.duty().Known->Vm;
-  if (holder != CountsSentTo)
+  StorePosition claim = Keeper.duty().Known->Position;
+  if (claim != CountsSentTo)
     CountsSent = CountsRepeated = 0;
   const VmEntry &self = State.Fleet.Self;
   UsageReport report =
@@ -100,10 +107,10 @@
   if (report.Windows.empty())
     return;
   if (holder == self.Vm)
-    applyUsageReport(State.Usage->Collection, report);
+    applyUsageReport(State.Usage->Collection, report, newestWindow());
   else if (!Link.sendUsage(holder, report))
     return;
-  CountsSentTo = holder;
+  CountsSentTo = claim;
   // A datagram may be lost, so the newest windows are sent once more.
   CountsSent = std::exchange(CountsRepeated, report.Sequence);
 }
--- a/src/savoryvm/usage_reporter.h
+++ b/src/savoryvm/usage_reporter.h
@@ -45,6 +45,7 @@
   void send(const UsageStep &step);
   void onAnswer(UsageWindow window, const Result<HttpMessage> &response);
   int rank() const;
+  UsageWindow newestWindow() const;
 
   SteeringState &State;
   PeerLink &Link;
@@ -59,7 +60,9 @@
   bool ApiBusy = false;
   MonoTime NextReadAt{};
   MonoTime CountsSentAt{};
-  VmId CountsSentTo;
+  /// Claim of the holder that the counts were last sent to. A holder that has
+  /// started again lacks what its earlier process was told.
+  StorePosition CountsSentTo;
   /// Sequence numbers of the last report but one, and of the last one.
   std::int64_t CountsSent = 0;
   std::int64_t CountsRepeated = 0;
