Skip windows whose counts are unknown, and keep the pauses between calls

Cause: after an outage of the store longer than the retained windows, the next holder would have reported empty counts. Where the era was seen before the clock was set, the first window to settle was that of 1970, so windows that the restored store had lost could be settled again. Reading the record again ended the pause after a refused call. With less than 1.2 s of the lease left, the time limit of a call equalled the rest of the lease, so the check at its sending always failed. Change: forgotten windows are skipped, with their number in usage_settled. The era's time is kept on the monotonic clock. Pauses outlast a read of the record. 200 ms of the lease are left for connecting. The time of the era and the time limit are in the call site and have no test yet.

--- a/src/libsavorysteer/usage_schedule.cpp
+++ b/src/libsavorysteer/usage_schedule.cpp
@@ -1,7 +1,6 @@
 #include "usage_schedule.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace savorylb {
 namespace {
@@ -34,8 +33,6 @@
   schedule.Record->Era = era;
   schedule.FirstOwn =
       continues ? UsageWindow() : windowAt(eraSeen, schedule.Length);
-  schedule.Failures = 0;
-  schedule.NextCallAt = MonoTime();
 }
 
 UsageStep nextUsageStep(const UsageSchedule &schedule,
@@ -49,16 +46,19 @@
       continue;
     // The calls keep their order, so a later window waits as well.
     if (now >= schedule.NextCallAt)
-      step = {UsageStep::Kind::Send, window, settled.Counts};
+      step = {UsageStep::Kind::Send, window, settled.Counts, 0};
     break;
   }
   if (step.What != UsageStep::Kind::None)
     return step;
-  UsageWindow window = nextToSettle(schedule);
+  UsageWindow first = nextToSettle(schedule);
+  UsageWindow window = std::max(first, windowAt(time, schedule.Length) -
+                                           UsageWindow(RetainedWindows - 1));
   if (windowEnd(window, schedule.Length) +
           std::chrono::duration_cast<Millis>(SettleDelay) <=
       time)
-    step = {UsageStep::Kind::Settle, window, sumUsage(collection, window)};
+    step = {UsageStep::Kind::Settle, window, sumUsage(collection, window),
+            (window - first).Value};
   return step;
 }
 
--- a/src/libsavorysteer/usage_schedule.h
+++ b/src/libsavorysteer/usage_schedule.h
@@ -56,6 +56,9 @@
   Kind What = Kind::None;
   UsageWindow Window;
   TeamCounts Counts;
+  /// Windows before this one that nobody settled and whose counts the VMs have
+  /// forgotten. They are not reported, rather than with wrong counts.
+  std::int64_t Skipped = 0;
 };
 
 /// Starts with the record that the store holds.
--- a/src/savoryvm/usage_reporter.cpp
+++ b/src/savoryvm/usage_reporter.cpp
@@ -19,6 +19,9 @@
 constexpr Duration RecordRetryPause = Millis(300);
 /// Longest time that a report may take.
 constexpr Duration ReportTimeout = Millis(1200);
+/// Part of the lease that is left for connecting; without it, a call that uses
+/// up the lease would never pass the check when its bytes are written.
+constexpr Duration ConnectReserve = Millis(200);
 /// A report is not sent with less time than this left in the lease.
 constexpr Duration MinReportTimeout = Millis(200);
 
@@ -53,7 +56,7 @@
   if (EraSeenAt && era <= Era)
     return;
   Era = era;
-  EraSeenAt = fleetTime(State.Usage->Clock, monoNow());
+  EraSeenAt = monoNow();
 }
 
 void UsageReporter::onGained() { readRecord(); }
@@ -147,8 +150,8 @@
                  }
                  record = read.value();
                }
-               onEra(platform::readStoreEra(response.value()));
-               startSchedule(Schedule, record, Era, *EraSeenAt);
+               startSchedule(Schedule, record, Era,
+                             fleetTime(State.Usage->Clock, *EraSeenAt));
              });
 }
 
@@ -205,6 +208,7 @@
         logEvent(EventCode::UsageSettled,
                  {{"window", step.Window.Value},
                   {"requests", requests},
+                  {"skipped", step.Skipped},
                   {"teams", static_cast<std::int64_t>(step.Counts.size())},
                   {"token", fencingToken(Keeper.duty().Held->Position).Value}});
         advance();
@@ -213,8 +217,8 @@
 
 void UsageReporter::send(const UsageStep &step) {
   const DutyState &duty = Keeper.duty();
-  Duration limit =
-      std::min(Duration(ReportTimeout), callLimit(duty, monoNow()));
+  Duration limit = std::min(Duration(ReportTimeout),
+                            callLimit(duty, monoNow()) - ConnectReserve);
   if (limit < MinReportTimeout)
     return;
   StorePosition claimed = duty.Held->Position;
--- a/src/savoryvm/usage_reporter.h
+++ b/src/savoryvm/usage_reporter.h
@@ -68,7 +68,7 @@
   std::int64_t CountsRepeated = 0;
   StoreEra Era;
   /// When this process first saw Era.
-  std::optional<WallTime> EraSeenAt;
+  std::optional<MonoTime> EraSeenAt;
   std::minstd_rand Random{std::random_device()()};
 };
 
