--- a/src/savoryvm/usage_reporter.cpp
+++ b/src/savoryvm/usage_reporter.cpp
@@ -19,6 +19,9 @@
 constexpr Duration RecordRetryPause = Millis(300);
 /// Longest time that a report may take.
 constexpr Duration ReportTimeout = Millis(1200);
+/// Part of the lease that is left for connecting; without it, a call that uses
+/// up the lease would never pass the check when its bytes are written.
+constexpr Duration ConnectReserve = Millis(200);
 /// A report is not sent with less time than this left in the lease.
 constexpr Duration MinReportTimeout = Millis(200);
 
@@ -49,10 +52,11 @@
 }
 
 void UsageReporter::onEra(StoreEra era) {
+  Keeper.onEra(era);
   if (EraSeenAt && era <= Era)
     return;
   Era = era;
-  EraSeenAt = fleetTime(State.Usage->Clock, monoNow());
+  EraSeenAt = monoNow();
 }
 
 void UsageReporter::onGained() { readRecord(); }
@@ -75,9 +79,15 @@
   return before;
 }
 
+UsageWindow UsageReporter::newestWindow() const {
+  return savorylb::newestWindow(fleetTime(State.Usage->Clock, monoNow()),
+                                Schedule.Length);
+}
+
 void UsageReporter::tick() {
   MonoTime now = monoNow();
   updateFleetClock(State.Usage->Clock, wallNow(), now);
+  forgetLaterWindows(State.Usage->Counts, newestWindow());
   Keeper.tick(Keeper.duty().Known || Keeper.duty().Held ? 0 : rank());
   if (now - CountsSentAt >= CountsInterval)
     sendCounts();
@@ -91,7 +101,8 @@
   if (!Keeper.duty().Known)
     return;
   const VmId &holder = Keeper.duty().Known->Vm;
-  if (holder != CountsSentTo)
+  StorePosition claim = Keeper.duty().Known->Position;
+  if (claim != CountsSentTo)
     CountsSent = CountsRepeated = 0;
   const VmEntry &self = State.Fleet.Self;
   UsageReport report =
@@ -99,10 +110,10 @@
   if (report.Windows.empty())
     return;
   if (holder == self.Vm)
-    applyUsageReport(State.Usage->Collection, report);
+    applyUsageReport(State.Usage->Collection, report, newestWindow());
   else if (!Link.sendUsage(holder, report))
     return;
-  CountsSentTo = holder;
+  CountsSentTo = claim;
   // A datagram may be lost, so the newest windows are sent once more.
   CountsSent = std::exchange(CountsRepeated, report.Sequence);
 }
@@ -116,6 +127,8 @@
   Store.call(platform::getRequest(platform::SettledUsageKey), StoreTimeout,
              [this](const Result<HttpMessage> &response) {
                StoreBusy = false;
+               if (response)
+                 onEra(platform::readStoreEra(response.value()));
                if (!response || !Keeper.duty().Held)
                  return;
                auto item = platform::readItem(response.value());
@@ -137,8 +150,8 @@
                  }
                  record = read.value();
                }
-               onEra(platform::readStoreEra(response.value()));
-               startSchedule(Schedule, record, Era, *EraSeenAt);
+               startSchedule(Schedule, record, Era,
+                             fleetTime(State.Usage->Clock, *EraSeenAt));
              });
 }
 
@@ -174,6 +187,8 @@
       platform::putRequest(put), StoreTimeout,
       [this, record, step](const Result<HttpMessage> &response) {
         StoreBusy = false;
+        if (response)
+          onEra(platform::readStoreEra(response.value()));
         if (!Keeper.duty().Held)
           return;
         auto position = response ? platform::readPutRevision(response.value())
@@ -193,6 +208,7 @@
         logEvent(EventCode::UsageSettled,
                  {{"window", step.Window.Value},
                   {"requests", requests},
+                  {"skipped", step.Skipped},
                   {"teams", static_cast<std::int64_t>(step.Counts.size())},
                   {"token", fencingToken(Keeper.duty().Held->Position).Value}});
         advance();
@@ -201,8 +217,8 @@
 
 void UsageReporter::send(const UsageStep &step) {
   const DutyState &duty = Keeper.duty();
-  Duration limit =
-      std::min(Duration(ReportTimeout), callLimit(duty, monoNow()));
+  Duration limit = std::min(Duration(ReportTimeout),
+                            callLimit(duty, monoNow()) - ConnectReserve);
   if (limit < MinReportTimeout)
     return;
   StorePosition claimed = duty.Held->Position;
