--- a/src/libsavorysteer/usage_schedule.cpp
+++ b/src/libsavorysteer/usage_schedule.cpp
@@ -49,7 +49,7 @@
       step = {UsageStep::Kind::Send, window, settled.Counts, 0};
     break;
   }
-  if (step.What != UsageStep::Kind::None)
+  if (step.What != UsageStep::Kind::None || now < schedule.SettleFrom)
     return step;
   UsageWindow first = nextToSettle(schedule);
   UsageWindow window = std::max(first, windowAt(time, schedule.Length) -
--- a/src/libsavorysteer/usage_schedule.h
+++ b/src/libsavorysteer/usage_schedule.h
@@ -29,6 +29,10 @@
 /// then reported its last requests of the window at least twice.
 constexpr Duration SettleDelay = Millis(3000);
 
+/// Time after a claim before which a new holder settles nothing. The watch of a
+/// VM shows it the claim within 2.1 s, and it sends its counts each second.
+constexpr Duration CollectionDelay = Millis(3300);
+
 /// The holder's progress with the reports.
 struct UsageSchedule {
   Millis Length{5000};
@@ -38,6 +42,8 @@
   std::optional<UsageRecord> Record;
   /// First window that this holder may settle.
   UsageWindow FirstOwn;
+  /// The VMs have sent their counts to this holder from this time on.
+  MonoTime SettleFrom{};
   /// Consecutive calls that were refused or not answered.
   int Failures = 0;
   MonoTime NextCallAt{};
--- a/src/libsavorysteer/usage_schedule_test.cpp
+++ b/src/libsavorysteer/usage_schedule_test.cpp
@@ -83,3 +83,13 @@
   LONGS_EQUAL(4, settle.Counts[Team]);
   LONGS_EQUAL(14, settle.Skipped);
 }
+
+// Guards against a window that a new holder settles before the VMs know it and
+// have sent their counts.
+TEST(UsageSchedule, NewHolderSettlesWithoutTheCounts) {
+  start(true);
+  MonoTime claimed(Seconds(100));
+  Schedule.SettleFrom = claimed + CollectionDelay;
+  CHECK_TRUE(step(after(11), claimed + Seconds(1)).What == Kind::None);
+  CHECK_TRUE(step(after(11), claimed + CollectionDelay).What == Kind::Settle);
+}
--- a/src/savoryvm/usage_reporter.cpp
+++ b/src/savoryvm/usage_reporter.cpp
@@ -59,7 +59,10 @@
   EraSeenAt = monoNow();
 }
 
-void UsageReporter::onGained() { readRecord(); }
+void UsageReporter::onGained() {
+  Schedule.SettleFrom = monoNow() + CollectionDelay;
+  readRecord();
+}
 
 void UsageReporter::onLost() {
   Schedule.Record.reset();
