Prefer an object's first replica, and count pressure only in queues

Change: a further replica costs half of a cached execution more; targets without the object cost twice the longer execution. Only a target without a free slot counts as pressure, and the bounds are 2.0 and 1.0 of the latency target.

--- a/src/libsavorysteer/overload_control.h
+++ b/src/libsavorysteer/overload_control.h
@@ -14,14 +14,14 @@
 /// fraction of its latency target, without overload. Expected latencies are
 /// means, so many requests beyond the target are in time after all, and a late
 /// response is worth more to a caller than a refusal.
-constexpr double WideLatencyFraction = 1.5;
+constexpr double WideLatencyFraction = 2;
 /// The same under lasting overload, when each request that waits makes another
-/// one late. Below 1, as queues vary.
-constexpr double NarrowLatencyFraction = 0.9;
+/// one late.
+constexpr double NarrowLatencyFraction = 1;
 
 /// Records the placement of one request.
 /// \param latencyFraction expected latency at the best target, as a fraction of
-///        the latency target.
+///        the latency target; 0 if it has a free slot.
 void recordPressure(OverloadState &overload, double latencyFraction);
 
 /// Answers a load that is beyond what the targets serve, for seconds or longer:
--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -41,10 +41,15 @@
 /// Random part of the cost relative to a cached execution. VMs that know the
 /// same loads would otherwise all choose the same target.
 constexpr double TieSpread = 0.15;
+/// Cost of a further replica relative to a cached execution, so that it is used
+/// only when the first one has a queue. All requests run uncached after a
+/// start; with all replicas alike, each of them would have to run the object
+/// first.
+constexpr double FurtherReplicaCost = 0.5;
 /// Cost of an uncached execution at a target that should not have the object,
 /// relative to the time that it takes longer: it occupies the slot for longer
 /// and evicts another object.
-constexpr double UnassignedCost = 0.5;
+constexpr double UnassignedCost = 2;
 constexpr Duration MinRetryAfter = Millis(100);
 constexpr Duration MaxRetryAfter = Millis(1000);
 
@@ -59,6 +64,13 @@
   return static_cast<double>(span.count()) / 1000.0;
 }
 
+/// \returns the cost of a rank relative to a cached execution.
+double rankCost(const PlacementRequest &request, int rank) {
+  if (request.Demands && rank > 0)
+    return FurtherReplicaCost + RankCost * (rank - 1);
+  return RankCost * std::max(0, rank);
+}
+
 /// \returns the cost in ms of sending the response through another zone.
 double responseCost(const PlacementRequest &request) {
   return std::min(CrossZoneMsPerKilobyte * request.ResponseBytes / 1000.0,
@@ -95,10 +107,10 @@
   result.UncachedMs =
       result.LatencyMs + slow * std::max(0.0, request.UncachedMs) - work;
   double busy = std::min(1.0, requests / slots);
-  result.Cost = result.LatencyMs +
-                request.CachedMs *
-                    (BusyCost * busy * busy + RankCost * std::max(0, rank)) +
-                FailureCostMs * currentFailureRate(target, now);
+  result.Cost =
+      result.LatencyMs +
+      request.CachedMs * (BusyCost * busy * busy + rankCost(request, rank)) +
+      FailureCostMs * currentFailureRate(target, now);
   if (target.Entry.Zone != request.Zone)
     result.Cost += CrossZoneMsPerKilobyte *
                        static_cast<double>(request.BodyBytes) / 1000.0 +
@@ -150,7 +162,8 @@
          fraction * static_cast<double>(HashSteps);
 }
 
-/// Gives rank 0 to the first targets of an order that should have the object.
+/// Gives rank 0 to the first target of an order, and rank 1 to the others that
+/// should have the object.
 /// \returns the number of replicas.
 int rankReplicas(const PlacementRequest &request, double fraction,
                  const std::vector<PlacementCandidate> &candidates,
@@ -171,7 +184,7 @@
                        demand, now);
   selectReplicas(order, static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i)
-    ranks[order[static_cast<std::size_t>(i)].Index] = 0;
+    ranks[order[static_cast<std::size_t>(i)].Index] = std::min(i, 1);
   return n;
 }
 
@@ -240,7 +253,7 @@
   rankReplicas(request, fraction, candidates, near, ranks, now);
   if (!far.empty()) {
     selectReplicas(far, 1);
-    ranks[far.front().Index] = 1;
+    ranks[far.front().Index] = 2;
   }
   return ranks;
 }
@@ -282,6 +295,7 @@
     return choice;
   }
   choice.ExpectedMs = best.LatencyMs;
+  choice.Queued = !best.FreeSlot;
   choice.ExpectedUncachedMs = best.UncachedMs;
   double fraction =
       std::max(MinQueuedLatencyFraction,
--- a/src/libsavorysteer/placement_policy.h
+++ b/src/libsavorysteer/placement_policy.h
@@ -65,6 +65,8 @@
   double ExpectedUncachedMs = 0;
   /// Delay after which a refused request is likely to be served.
   Duration RetryAfter{0};
+  /// The best target has no free slot for the request.
+  bool Queued = false;
   /// `no-target`, `overload`, `paused`, `reserved`, `stopping` or empty.
   const char *Reason = "";
   /// There is no target yet: the request should be placed again after this
@@ -101,8 +103,9 @@
 std::vector<int> objectRanks(const std::string &object, const RegionId &region,
                              const std::vector<PlacementCandidate> &candidates);
 
-/// Determines the replicas of an object if objects have several: the first ones
-/// of the region's order have rank 0, and one in another region has rank 1. An
+/// Determines the replicas of an object if objects have several: the first one
+/// of the region's order has rank 0, the others have rank 1, and one in another
+/// region has rank 2. An
 /// object that is not assigned to the region has all its replicas elsewhere;
 /// they are among those of the other regions' callers.
 /// \returns the rank of each candidate, or -1 if it is not assigned the object.
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -244,11 +244,12 @@
   PlacementChoice choice = placeRequest(query, candidates.Usable, now);
   if (choice.Defer > Duration::zero())
     return choice;
-  if (state.Bounds.OverloadControl && request.Tried.empty())
-    recordPressure(
-        service.Overload,
-        choice.ExpectedMs /
-            std::max(1.0, static_cast<double>(query.LatencyTarget.count())));
+  if (state.Bounds.OverloadControl && request.Tried.empty()) {
+    auto target = static_cast<double>(query.LatencyTarget.count());
+    recordPressure(service.Overload,
+                   choice.Queued ? choice.ExpectedMs / std::max(1.0, target)
+                                 : 0);
+  }
   choice = limitRegionReturn(state, query, candidates.Usable, choice, now);
   return refuseBeforeStop(state, request, choice, now);
 }
