Treat a response without a length as broken if its request was cut off

Seen: a target that answered an upload early with a 200 without a length, sent part of the body and reset the connection gave the caller that part as a complete response. Cause: HttpConnection took the end of the stream for the end of such a body even while it was still writing, or after a failed write. The failed write receives the error of the reset, so the next read reports an ordinary end. The same held for requests that the system had buffered but the peer had not received when it ended the stream. Change: the end of the stream completes a body only after the peer's system has acknowledged the whole request (no write outstanding or failed, and SIOCOUTQ is 0). Otherwise the exchange is broken: a retryable request is sent again, one that may have run gets 502. Responses with a length or chunks, which show by themselves that they are complete, pass as before.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -5,7 +5,9 @@
 
 #include <charconv>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace savorylb {
 namespace {
@@ -147,7 +149,7 @@
                         return;
                       self->Writing = false;
                       // The response may have arrived before the write
-                      // failed, so onRead() determines the outcome.
+                      // failed, so readResponse() determines the outcome.
                       if (ec)
                         self->Open = false;
                     });
@@ -206,11 +208,29 @@
          SkippedBytes <= MaxSkippedBytes;
 }
 
+/// \returns whether the peer's system has received the whole request.
+bool HttpConnection::requestReceived() {
+  // After a failed write, Open is false.
+  if (Writing || !Open)
+    return false;
+  int unacknowledged = 0;
+  return ioctl(Socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 &&
+         unacknowledged == 0;
+}
+
 void HttpConnection::readResponse(bool ended) {
   while (true) {
     ReadState state = Reader->read(Buffer);
-    if (state == ReadState::NeedMore && ended)
+    if (state == ReadState::NeedMore && ended) {
       state = Reader->started() ? Reader->readEof() : ReadState::Invalid;
+      // Only the end of the stream shows that this response is complete. A peer
+      // that ends it before it has the whole request may have failed, and the
+      // end may be a reset whose error the failed write has received.
+      if (state == ReadState::Complete && !requestReceived()) {
+        finish(ExchangeOutcome::Broken);
+        return;
+      }
+    }
     if (state == ReadState::Invalid) {
       RejectReason = rejectReason(Reader->error());
       finish(ExchangeOutcome::Broken);
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -81,6 +81,7 @@
   bool skipResponse(const HttpMessage &message);
   void readMore();
   void onReadable(boost::system::error_code ec);
+  bool requestReceived();
   void readResponse(bool ended);
   void finish(ExchangeOutcome outcome);
 
--- a/src/savoryvm/broken_response_test.cpp
+++ b/src/savoryvm/broken_response_test.cpp
@@ -58,6 +58,16 @@
   };
 }
 
+/// Larger than the buffers of both sockets, so that an early response arrives
+/// while the upload is still being written.
+constexpr std::size_t UploadBytes = 16 << 20;
+constexpr std::int64_t MaxUploadBytes = 32 << 20;
+
+void allowLargeUploads(VmFixture &fixture) {
+  fixture.Platform.MaxBodyBytes = MaxUploadBytes;
+  fixture.Platform.configure({"key-1"});
+}
+
 } // namespace
 
 TEST_GROUP(BrokenResponse){};
@@ -120,3 +130,50 @@
   LONGS_EQUAL(200, result.Status);
   STRCMP_EQUAL("abcde", result.Body.c_str());
 }
+
+// Guards against taking a reset or the end of the stream for the end of a body
+// without a length while the upload is still being written.
+TEST(BrokenResponse, EarlyResponseBreaksOffDuringAnUpload) {
+  for (bool retryable : {false, true}) {
+    VmFixture fixture;
+    allowLargeUploads(fixture);
+    const char *service = retryable ? "tiles" : "permits";
+    ScriptedServer &server = fixture.Platform.addScriptedTarget(
+        service,
+        script({"early response", Head + "\r\nabcde", ReplyEnd::Reset}));
+    server.RepliesToHead = true;
+    PlatformTarget &good = fixture.Platform.addTarget(service, "tema-b");
+    good.setMaxBodyBytes(MaxUploadBytes);
+    fixture.addVm(2);
+    fixture.waitReady(2);
+    for (int i = 0; i < 30 && server.Requests == 0; ++i) {
+      CallerRequest request = retryable ? CallerRequest() : permitRequest("");
+      request.Body = std::string(UploadBytes, 'x');
+      request.AffinityKey = std::to_string(i);
+      CallerResult result = fixture.call(2, request);
+      LONGS_EQUAL(server.Requests > 0 && !retryable ? 502 : 200, result.Status);
+      CHECK_TRUE(result.Body.find("abcde") == std::string::npos);
+    }
+    LONGS_EQUAL(1, server.Requests);
+  }
+}
+
+// Guards against discarding an early response whose length shows that it is
+// complete.
+TEST(BrokenResponse, EarlyResponseWithALengthIsDiscarded) {
+  for (ReplyEnd end : {ReplyEnd::Reset, ReplyEnd::KeepOpen}) {
+    VmFixture fixture;
+    allowLargeUploads(fixture);
+    ScriptedServer &server = fixture.Platform.addScriptedTarget(
+        "permits", script({"early response",
+                           Head + "Content-Length: 5\r\n\r\nabcde", end}));
+    server.RepliesToHead = true;
+    fixture.addVm(2);
+    fixture.waitReady(2);
+    CallerRequest request = permitRequest("");
+    request.Body = std::string(UploadBytes, 'x');
+    CallerResult result = fixture.call(2, request);
+    LONGS_EQUAL(200, result.Status);
+    STRCMP_EQUAL("abcde", result.Body.c_str());
+  }
+}
--- a/src/standins/platform/scripted_server.cpp
+++ b/src/standins/platform/scripted_server.cpp
@@ -34,7 +34,8 @@
     ReadState state = Reader->read(Buffer);
     if (state == ReadState::Invalid)
       return;
-    if (state == ReadState::Complete) {
+    bool early = Server.RepliesToHead && Reader->headComplete();
+    if (state == ReadState::Complete || early) {
       HttpMessage request = std::move(Reader->message());
       Reader.reset();
       ++Server.Requests;
--- a/src/standins/platform/scripted_server.h
+++ b/src/standins/platform/scripted_server.h
@@ -37,6 +37,9 @@
   /// \returns false if the address cannot be bound.
   bool listen(const std::string &address);
 
+  /// Replies as soon as the head of a request is complete and does not read the
+  /// rest of its body.
+  bool RepliesToHead = false;
   int Connections = 0;
   int Requests = 0;
   std::int64_t BytesWritten = 0;
