Reject responses with a status outside 100 to 599

Seen: a target's response with status 000 or 600 reached the caller, through savoryvm and through savorylbd; the caller's client reported status 0. Cause: the Beast parser accepts any three digits and Poco any number of up to three characters, and neither HttpReader nor response_reader checked the range. Change: HttpReader reports such a response as malformed, which also covers the store and other VMs; response_reader sets the reason bad-status. A space in a field name, which BrokenResponse now tries as well, was rejected by savoryvm before.

--- a/src/libsavoryedge/response_reader.cpp
+++ b/src/libsavoryedge/response_reader.cpp
@@ -16,6 +16,8 @@
 using Poco::Net::HTTPResponse;
 
 constexpr std::size_t ReadBufferBytes = 65'536;
+constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599;
 
 bool hasNoBody(const TargetRequest &request, int status) {
   return request.Method == Poco::Net::HTTPRequest::HTTP_HEAD ||
@@ -130,6 +132,12 @@
   HTTPResponse head;
   std::istream &in = session.receiveResponse(head);
   response.Status = head.getStatus();
+  // Poco accepts any number of up to three digits.
+  if (response.Status < MinStatus || response.Status > MaxStatus) {
+    response.Reason = "bad-status";
+    session.reset();
+    return;
+  }
   for (const auto &[name, value] : head)
     if (!isStrippedHeader(name))
       response.Headers.emplace_back(name, value);
--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -19,6 +19,9 @@
 /// one byte takes six.
 constexpr std::size_t MaxChunkingRatio = 16;
 
+constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599;
+
 } // namespace
 
 struct HttpReader::Parser {
@@ -91,6 +94,9 @@
                         ParseError &ec) override {
     Message.Status = code;
     Message.Reason.assign(reason.data(), reason.size());
+    // The parser accepts any three digits.
+    if (code < MinStatus || code > MaxStatus)
+      ec = http::error::bad_status;
     if (version != 10 && version != 11)
       ec = http::error::bad_version;
   }
--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -203,6 +203,24 @@
   LONGS_EQUAL(50'000, reader.message().Body.size());
 }
 
+// Guards against accepting a status outside 100 to 599, such as 000.
+TEST(HttpReader, StatusOutOfRangeIsAccepted) {
+  for (const char *it :
+       {"000", "001", "099", "600", "999", "99", "2000", "-10", "2x0", " 20"}) {
+    HttpReader reader = makeReader(HttpReader::Kind::Response);
+    std::string text =
+        "HTTP/1.1 " + std::string(it) + " Odd\r\nContent-Length: 0\r\n\r\n";
+    CHECK_TRUE_TEXT(reader.read(text) == ReadState::Invalid, it);
+    CHECK_TRUE_TEXT(reader.error() == ReadError::Malformed, it);
+  }
+  for (const char *it : {"100", "200", "599"}) {
+    HttpReader reader = makeReader(HttpReader::Kind::Response);
+    std::string text =
+        "HTTP/1.1 " + std::string(it) + " Odd\r\nContent-Length: 0\r\n\r\n";
+    CHECK_TRUE_TEXT(reader.read(text) == ReadState::Complete, it);
+  }
+}
+
 TEST_GROUP(HttpMessage){};
 
 // Guards against hop-by-hop fields that are forwarded to another connection.
--- a/src/savoryvm/broken_response_test.cpp
+++ b/src/savoryvm/broken_response_test.cpp
@@ -15,7 +15,7 @@
   ReplyEnd End = ReplyEnd::Close;
 };
 
-/// Responses that end before they are complete.
+/// Responses that end before they are complete or are malformed.
 std::vector<BrokenCase> brokenCases() {
   return {
       {"nothing", ""},
@@ -40,6 +40,12 @@
       {"trailer fields, cut",
        Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\nT: x\r\n"},
       {"no length, reset", Head + "\r\nabcde", ReplyEnd::Reset},
+      {"status 000",
+       "HTTP/1.1 000 Odd\r\n" + Signature + "Content-Length: 0\r\n\r\n"},
+      {"status 600",
+       "HTTP/1.1 600 Odd\r\n" + Signature + "Content-Length: 0\r\n\r\n"},
+      {"space in a field name",
+       Head + "X A: b\r\nContent-Length: 5\r\n\r\nabcde"},
   };
 }
 
