Reject responses with an invalid field name in savorylbd

Seen: a response whose head had a field name with a space or a control byte, a space before the colon, or a line without a colon was relayed; after a line that began with a carriage return or a line feed, the rest of the head was relayed as the body. The store client took such bytes for the result of a write. Cause: Poco accepts any bytes as a field name, skips lines without a colon and ends the head at such a line. Change: LimitedSocketImpl, through which all responses of libsavoryedge are read, checks the lines of the head as they arrive: names are tokens, values have no control bytes, and lines end with CR LF. Poco reports a failed read, so the outcome is unknown, with reason malformed. A folded value is still joined to one line, as RFC 9112 permits to a gateway. HttpReader rejected such heads before; new tests guard that. Measured: before, InvalidFieldNameIsRelayed, LengthWithASpaceBeforeTheColonIsUsed and InvalidHeadOfTheStoreIsRead of MalformedResponse failed; with the change they pass, as do the other tests of both libraries. The new tests of HttpReader passed without a change.

--- a/src/libsavoryedge/limited_socket.cpp
+++ b/src/libsavoryedge/limited_socket.cpp
@@ -15,9 +15,24 @@
   auto most = static_cast<int>(std::min<std::int64_t>(length, BytesLeft));
   int n = StreamSocketImpl::receiveBytes(buffer, most, flags);
   BytesLeft -= n;
+  if (n > 0 && !checkHead(Head, static_cast<const char *>(buffer),
+                          static_cast<std::size_t>(n)))
+    HeadInvalid = true;
+  if (HeadInvalid)
+    throw Poco::DataException("the head of the response is invalid");
   return n;
 }
 
+void expectHead(Poco::Net::Socket &socket) {
+  if (auto *impl = dynamic_cast<LimitedSocketImpl *>(socket.impl()))
+    impl->Head = HeadCheck();
+}
+
+bool receivedInvalidHead(const Poco::Net::Socket &socket) {
+  auto *impl = dynamic_cast<LimitedSocketImpl *>(socket.impl());
+  return impl && impl->HeadInvalid;
+}
+
 void setReadDeadline(Poco::Net::Socket &socket, MonoTime deadline) {
   if (auto *impl = dynamic_cast<LimitedSocketImpl *>(socket.impl()))
     impl->Deadline = deadline;
--- a/src/libsavoryedge/malformed_response_test.cpp
+++ b/src/libsavoryedge/malformed_response_test.cpp
@@ -1,3 +1,4 @@
+#include "savorylb/store_client_http.h"
 #include "savorylb/target_client_http.h"
 #include "scripted_server.h"
 
@@ -47,3 +48,64 @@
     LONGS_EQUAL(std::stoi(it), response.Status);
   }
 }
+
+// Guards against relaying a response with an invalid field line, or with a
+// wrong body because a part of the head is taken for the body.
+TEST(MalformedResponse, InvalidFieldNameIsRelayed) {
+  const std::string length = "Content-Length: 2\r\n";
+  for (const std::string &it : std::vector<std::string>{
+           "X A: b\r\n", "X-A : b\r\n", "X-A\t: b\r\n", " X-A: b\r\n",
+           "X\x01"
+           "A: b\r\n",
+           "X\x7f"
+           "A: b\r\n",
+           std::string("X\0A: b\r\n", 8), "X\rA: b\r\n", "\rX-A: b\r\n",
+           "\nX-A: b\r\n", "X-A b\r\n", ": b\r\n", "X\xc3\xa4: b\r\n",
+           "X(A): b\r\n"}) {
+    for (bool first : {true, false}) {
+      TargetResponse response =
+          sendTo("HTTP/1.1 200 OK\r\n" + (first ? it + length : length + it) +
+                 "X-B: c\r\n\r\nok");
+      bool folded = it[0] == ' ' && !first;
+      if (!folded)
+        CHECK_TRUE_TEXT(response.Outcome == TargetOutcome::Unknown, it.c_str());
+    }
+  }
+}
+
+// Guards against a length that is read from a field with an invalid name.
+TEST(MalformedResponse, LengthWithASpaceBeforeTheColonIsUsed) {
+  for (const char *it :
+       {"Content-Length : 2\r\nContent-Length: 1\r\n",
+        "Content-Length: 1\r\nContent-Length : 2\r\n",
+        "Transfer-Encoding : chunked\r\nContent-Length: 2\r\n"}) {
+    TargetResponse response =
+        sendTo("HTTP/1.1 200 OK\r\n" + std::string(it) + "\r\nok");
+    CHECK_TRUE_TEXT(response.Outcome == TargetOutcome::Unknown, it);
+  }
+}
+
+// Guards against rejecting a field that continues on the next line, which a
+// gateway may join to one line.
+TEST(MalformedResponse, FoldedFieldIsRelayedInTwoLines) {
+  TargetResponse response = sendTo("HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n"
+                                   "Content-Length: 2\r\n\r\nok");
+  CHECK_TRUE(response.Outcome == TargetOutcome::Done);
+  STRCMP_EQUAL("ok", response.Body.c_str());
+  for (const auto &[name, value] : response.Headers) {
+    (void)name;
+    CHECK_TRUE(value.find_first_of("\r\n") == std::string::npos);
+  }
+}
+
+// Guards against a store's response whose body is a part of its head.
+TEST(MalformedResponse, InvalidHeadOfTheStoreIsRead) {
+  ScriptedServer server([](const std::string &) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\rX-A: b\r\ntrue\r\n\r\n";
+  });
+  StoreClient store =
+      makeHttpStoreClient("http://" + server.address(), Millis(300));
+  auto written = store.CompareAndSwap("k", "v", 1);
+  CHECK_TRUE(!written);
+  CHECK_TRUE(written.error().Code == ErrorCode::Unknown);
+}
--- a/src/libsavoryedge/silence_check.cpp
+++ b/src/libsavoryedge/silence_check.cpp
@@ -31,6 +31,7 @@
                         HTTPRequest::HTTP_1_1);
     request.setHost(address);
     request.setKeepAlive(true);
+    expectHead(session.socket());
     session.sendRequest(request);
     HTTPResponse response;
     std::istream &body = session.receiveResponse(response);
--- a/src/libsavoryedge/target_client_http.cpp
+++ b/src/libsavoryedge/target_client_http.cpp
@@ -180,6 +180,7 @@
 void runAttempt(Attempt &attempt, const ResponseSink &sink) {
   applyTimeout(attempt);
   HTTPRequest request = makeRequest(attempt.Request, remaining(attempt));
+  expectHead(attempt.Session->socket());
   std::ostream &out = attempt.Session->sendRequest(request);
   bool bodySent = sendBody(attempt, out);
   out.flush();
@@ -240,7 +241,9 @@
     } catch (const Poco::TimeoutException &) {
       fail(attempt, "timeout");
     } catch (const std::exception &) {
-      fail(attempt, "connection-lost");
+      fail(attempt, receivedInvalidHead(attempt.Session->socket())
+                        ? "malformed"
+                        : "connection-lost");
     }
     cancelAtTarget(attempt);
     bool reusable =
--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -221,6 +221,43 @@
   }
 }
 
+// Guards against a field name that contains a space or a control byte, which
+// other implementations read as another field, as no field or as the body.
+TEST(HttpReader, InvalidFieldNameIsAccepted) {
+  const std::string length = "Content-Length: 2\r\n";
+  for (const std::string &it :
+       std::vector<std::string>{"X A: b\r\n", "X-A : b\r\n", "X-A\t: b\r\n",
+                                "Content-Length : 2\r\n",
+                                "X\x01"
+                                "A: b\r\n",
+                                "X\x7f"
+                                "A: b\r\n",
+                                std::string("X\0A: b\r\n", 8), "X\rA: b\r\n",
+                                "\rX-A: b\r\n", "\nX-A: b\r\n", "X-A b\r\n",
+                                ": b\r\n", "X\xc3\xa4: b\r\n", "X(A): b\r\n"})
+    for (bool first : {true, false}) {
+      HttpReader reader = makeReader(HttpReader::Kind::Response);
+      std::string text = "HTTP/1.1 200 OK\r\n" +
+                         (first ? it + length : length + it) +
+                         "X-B: c\r\n\r\nok";
+      CHECK_TRUE_TEXT(reader.read(text) == ReadState::Invalid, it.c_str());
+    }
+}
+
+// Guards against passing on a field that continues on the next line with its
+// line break, and against a continuation line without a field.
+TEST(HttpReader, FoldedFieldKeepsItsLineBreak) {
+  HttpReader reader = makeReader(HttpReader::Kind::Response);
+  std::string text = "HTTP/1.1 200 OK\r\nX-A: b\r\n\t c\r\n"
+                     "Content-Length:\r\n 2\r\n\r\nok";
+  CHECK_TRUE(reader.read(text) == ReadState::Complete);
+  STRCMP_EQUAL("b c", findField(reader.message(), "X-A")->c_str());
+  STRCMP_EQUAL("ok", reader.message().Body.c_str());
+  HttpReader first = makeReader(HttpReader::Kind::Response);
+  text = "HTTP/1.1 200 OK\r\n X-A: b\r\nContent-Length: 2\r\n\r\nok";
+  CHECK_TRUE(first.read(text) == ReadState::Invalid);
+}
+
 TEST_GROUP(HttpMessage){};
 
 // Guards against hop-by-hop fields that are forwarded to another connection.
