Skip all interim responses in savorylbd

Seen: an interim response such as 102 or 103 was taken for the final one. Without a length it was rejected as no-length, with Content-Length: 0 it was relayed, and the final response was lost. Cause: Poco's HTTPClientSession skips only responses with status 100. Change: response_reader reads on until the status is 200 or higher. The deadline of the socket's reads bounds endless interim responses. Measured: MalformedResponse.InterimResponseIsRelayedAsFinal failed before with status 102; it passes with the change, as does StopsReadingEndlessBytesAtDeadline with endless responses of status 103, and the other tests of the library.

--- a/src/libsavoryedge/malformed_response_test.cpp
+++ b/src/libsavoryedge/malformed_response_test.cpp
@@ -49,6 +49,20 @@
   }
 }
 
+// Guards against taking an interim response for the final one.
+TEST(MalformedResponse, InterimResponseIsRelayedAsFinal) {
+  for (const char *it :
+       {"100 Continue\r\n", "102 Processing\r\n", "103 Hints\r\nLink: x\r\n",
+        "103 Hints\r\nContent-Length: 0\r\n"}) {
+    TargetResponse response =
+        sendTo("HTTP/1.1 " + std::string(it) +
+               "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_TRUE_TEXT(response.Outcome == TargetOutcome::Done, it);
+    LONGS_EQUAL_TEXT(200, response.Status, it);
+    STRCMP_EQUAL_TEXT("ok", response.Body.c_str(), it);
+  }
+}
+
 // Guards against relaying a response with an invalid field line, or with a
 // wrong body because a part of the head is taken for the body.
 TEST(MalformedResponse, InvalidFieldNameIsRelayed) {
--- a/src/libsavoryedge/response_reader.cpp
+++ b/src/libsavoryedge/response_reader.cpp
@@ -25,6 +25,8 @@
          status == HTTPResponse::HTTP_NOT_MODIFIED;
 }
 
+bool isInterim(int status) { return status >= 100 && status < 200; }
+
 /// \returns whether a header is removed from the relayed response: hop-by-hop
 /// and message-length headers, the target's Date and Server, and headers that
 /// only the daemon and the target use.
@@ -130,7 +132,11 @@
                   const TargetRequest &request, MonoTime deadline,
                   const ResponseSink &sink, TargetResponse &response) {
   HTTPResponse head;
-  std::istream &in = session.receiveResponse(head);
+  std::istream *in = &session.receiveResponse(head);
+  // Poco skips only responses with status 100. The deadline of the socket's
+  // reads bounds their number.
+  while (isInterim(head.getStatus()))
+    in = &session.receiveResponse(head);
   response.Status = head.getStatus();
   // Poco accepts any number of up to three digits.
   if (response.Status < MinStatus || response.Status > MaxStatus) {
@@ -152,7 +158,7 @@
   if (!hasNoBody(request, response.Status)) {
     if (!chunked && length < 0)
       response.Reason = "no-length";
-    BodyReader reader{session,  in,   chunked ? -1 : length,
+    BodyReader reader{session,  *in,  chunked ? -1 : length,
                       deadline, sink, response};
     if (response.Reason.empty())
       response.Reason = readBody(reader);
--- a/src/libsavoryedge/target_client_test.cpp
+++ b/src/libsavoryedge/target_client_test.cpp
@@ -58,6 +58,8 @@
           {"one header field", ok + "A: ", "x"},
           {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
            "HTTP/1.1 100 Continue\r\n\r\n"},
+          {"interim responses with hints", "HTTP/1.1 103 Hints\r\n\r\n",
+           "HTTP/1.1 103 Hints\r\n\r\n"},
           {"body without a length", ok + "\r\n", "x"},
           {"JSON without an end", ok + "\r\n{\"a\":\"", "x"},
           {"chunks", chunked, "5\r\nhello\r\n"},
