--- a/src/savoryvm/broken_response_test.cpp
+++ b/src/savoryvm/broken_response_test.cpp
@@ -15,7 +15,7 @@
   ReplyEnd End = ReplyEnd::Close;
 };
 
-/// Responses that end before they are complete.
+/// Responses that end before they are complete or are malformed.
 std::vector<BrokenCase> brokenCases() {
   return {
       {"nothing", ""},
@@ -40,6 +40,12 @@
       {"trailer fields, cut",
        Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\nT: x\r\n"},
       {"no length, reset", Head + "\r\nabcde", ReplyEnd::Reset},
+      {"status 000",
+       "HTTP/1.1 000 Odd\r\n" + Signature + "Content-Length: 0\r\n\r\n"},
+      {"status 600",
+       "HTTP/1.1 600 Odd\r\n" + Signature + "Content-Length: 0\r\n\r\n"},
+      {"space in a field name",
+       Head + "X A: b\r\nContent-Length: 5\r\n\r\nabcde"},
   };
 }
 
@@ -58,6 +64,16 @@
   };
 }
 
+/// Larger than the buffers of both sockets, so that an early response arrives
+/// while the upload is still being written.
+constexpr std::size_t UploadBytes = 16 << 20;
+constexpr std::int64_t MaxUploadBytes = 32 << 20;
+
+void allowLargeUploads(VmFixture &fixture) {
+  fixture.Platform.MaxBodyBytes = MaxUploadBytes;
+  fixture.Platform.configure({"key-1"});
+}
+
 } // namespace
 
 TEST_GROUP(BrokenResponse){};
@@ -120,3 +136,50 @@
   LONGS_EQUAL(200, result.Status);
   STRCMP_EQUAL("abcde", result.Body.c_str());
 }
+
+// Guards against taking a reset or the end of the stream for the end of a body
+// without a length while the upload is still being written.
+TEST(BrokenResponse, EarlyResponseBreaksOffDuringAnUpload) {
+  for (bool retryable : {false, true}) {
+    VmFixture fixture;
+    allowLargeUploads(fixture);
+    const char *service = retryable ? "tiles" : "permits";
+    ScriptedServer &server = fixture.Platform.addScriptedTarget(
+        service,
+        script({"early response", Head + "\r\nabcde", ReplyEnd::Reset}));
+    server.RepliesToHead = true;
+    PlatformTarget &good = fixture.Platform.addTarget(service, "tema-b");
+    good.setMaxBodyBytes(MaxUploadBytes);
+    fixture.addVm(2);
+    fixture.waitReady(2);
+    for (int i = 0; i < 30 && server.Requests == 0; ++i) {
+      CallerRequest request = retryable ? CallerRequest() : permitRequest("");
+      request.Body = std::string(UploadBytes, 'x');
+      request.AffinityKey = std::to_string(i);
+      CallerResult result = fixture.call(2, request);
+      LONGS_EQUAL(server.Requests > 0 && !retryable ? 502 : 200, result.Status);
+      CHECK_TRUE(result.Body.find("abcde") == std::string::npos);
+    }
+    LONGS_EQUAL(1, server.Requests);
+  }
+}
+
+// Guards against discarding an early response whose length shows that it is
+// complete.
+TEST(BrokenResponse, EarlyResponseWithALengthIsDiscarded) {
+  for (ReplyEnd end : {ReplyEnd::Reset, ReplyEnd::KeepOpen}) {
+    VmFixture fixture;
+    allowLargeUploads(fixture);
+    ScriptedServer &server = fixture.Platform.addScriptedTarget(
+        "permits", script({"early response",
+                           Head + "Content-Length: 5\r\n\r\nabcde", end}));
+    server.RepliesToHead = true;
+    fixture.addVm(2);
+    fixture.waitReady(2);
+    CallerRequest request = permitRequest("");
+    request.Body = std::string(UploadBytes, 'x');
+    CallerResult result = fixture.call(2, request);
+    LONGS_EQUAL(200, result.Status);
+    STRCMP_EQUAL("abcde", result.Body.c_str());
+  }
+}
