Treat the write as complete where the system does not tell what was received

Cause: requestReceived() took a failing SIOCOUTQ as a request that was cut off, so without the call every response that ends with its connection would be broken. Change: then the completed write decides. Measured: not run apart from its tests, which do not cover a failing call.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -213,9 +213,10 @@
   // After a failed write, Open is false.
   if (Writing || !Open)
     return false;
+  // Where the system does not tell, the completed write has to do.
   int unacknowledged = 0;
-  return ioctl(Socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 &&
-         unacknowledged == 0;
+  int failed = ioctl(Socket.native_handle(), SIOCOUTQ, &unacknowledged);
+  return failed != 0 || unacknowledged == 0;
 }
 
 void HttpConnection::readResponse(bool ended) {
