--- a/src/libsavorysteer/overload_control.cpp
+++ b/src/libsavorysteer/overload_control.cpp
@@ -6,8 +6,9 @@
 namespace {
 
 /// Weight of one request. A VM sends some requests a second to a service, so
-/// the fraction covers the last seconds.
-constexpr double PressureWeight = 0.05;
+/// the fraction covers the last seconds; a shorter peak ends before refusals
+/// would help those that come later.
+constexpr double PressureWeight = 0.02;
 /// Pressure from which the bound is narrow. Random peaks of a load that the
 /// targets serve stay below.
 constexpr double FullPressure = 0.5;
--- a/src/libsavorysteer/overload_control.h
+++ b/src/libsavorysteer/overload_control.h
@@ -14,7 +14,7 @@
 /// fraction of its latency target, without overload. Expected latencies are
 /// means, so many requests beyond the target are in time after all, and a late
 /// response is worth more to a caller than a refusal.
-constexpr double WideLatencyFraction = 2;
+constexpr double WideLatencyFraction = 2.5;
 /// The same under lasting overload, when each request that waits makes another
 /// one late.
 constexpr double NarrowLatencyFraction = 1;
