Simulate the platform's interface for usage reports

Cause: nothing in the repository answered POST /usage, so reports could only be read, not tested. The simulated platform has an address for it and settings with the duty, and its store answers requests for one key.

--- a/src/standins/platform/platform_store.cpp
+++ b/src/standins/platform/platform_store.cpp
@@ -158,6 +158,8 @@
   HttpMessage response;
   if (path == "/kv-range")
     response = list(message.Path);
+  else if (path == "/kv-key")
+    response = read(message.Path);
   else if (path == "/kv-txn")
     response = applyTransaction(message.Body);
   else if (path == "/kv-lease")
@@ -206,6 +208,12 @@
   return jsonMessage(200, body);
 }
 
+HttpMessage PlatformStore::read(const std::string &path) const {
+  auto it = Items.find(queryParameter(path, "key"));
+  return it == Items.end() ? emptyResponse(404)
+                           : jsonMessage(200, itemJson(it->first, it->second));
+}
+
 HttpMessage PlatformStore::applyTransaction(const std::string &body) {
   auto value = platform::parseObject(body);
   if (!value)
--- a/src/standins/platform/platform_store.h
+++ b/src/standins/platform/platform_store.h
@@ -94,6 +94,7 @@
   void answer(const std::shared_ptr<ServedRequest> &request,
               const Endpoint &at);
   HttpMessage list(const std::string &path);
+  HttpMessage read(const std::string &path) const;
   HttpMessage applyTransaction(const std::string &body);
   HttpMessage grantLease(const std::string &body);
   HttpMessage renew(std::int64_t id);
--- a/src/standins/platform/simulated_platform.cpp
+++ b/src/standins/platform/simulated_platform.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr int StorePort = 8601;
+constexpr int UsagePort = 8602;
 constexpr int TargetPort = 8610;
 constexpr int ScriptedPort = 8650;
 constexpr int CallerPort = 8701;
@@ -22,6 +23,18 @@
   return std::to_string(span.count()) + "ms";
 }
 
+void addDutySettings(Json::Value &value, const UsageRules &rules,
+                     const std::string &address) {
+  value["duties"] = "usage_reporting";
+  value["platform_api_address"] = address;
+  value["duty_calls_per_second"] = std::to_string(rules.CallsPerSecond);
+  value["duty_lease"] = milliseconds(rules.Lease);
+  value["duty_lease_margin"] = milliseconds(rules.LeaseMargin);
+  value["duty_fencing"] = rules.ChecksToken ? "true" : "false";
+  value["usage_window"] = milliseconds(rules.Window);
+  value["usage_due"] = milliseconds(rules.Due);
+}
+
 Json::Value route(const std::string &prefix, const std::string &kind,
                   const std::string &service, Millis timeout) {
   Json::Value value;
@@ -44,7 +57,7 @@
 bool SimulatedPlatform::start(int net) {
   Net = net;
   configure({"key-1"});
-  return Store.listen(storeAddress());
+  return Store.listen(storeAddress()) && Usage.listen(usageAddress());
 }
 
 PlatformTarget &SimulatedPlatform::addTarget(const std::string &service,
@@ -114,6 +127,10 @@
   return loopbackAddress(Net, n, PeerPort);
 }
 
+std::string SimulatedPlatform::usageAddress() const {
+  return loopbackAddress(Net, 1, UsagePort);
+}
+
 std::string SimulatedPlatform::storeAddress() const {
   return loopbackAddress(Net, 1, StorePort);
 }
@@ -144,6 +161,8 @@
   value["peer_port"] = std::to_string(PeerPort);
   value["store_address"] = storeAddress(n);
   value["repeat_slack"] = "60";
+  if (DutyOn)
+    addDutySettings(value, Usage.Rules, usageAddress());
   return platform::writeJson(value);
 }
 
--- a/src/standins/platform/simulated_platform.h
+++ b/src/standins/platform/simulated_platform.h
@@ -5,6 +5,7 @@
 #include "platform_store.h"
 #include "platform_target.h"
 #include "scripted_server.h"
+#include "usage_endpoint.h"
 
 #include <memory>
 #include <set>
@@ -21,14 +22,16 @@
   Millis Route{2000};
 };
 
-/// Simulates the platform: a store and targets on loopback addresses, and the
-/// operator's configuration.
+/// Simulates the platform: a store, targets and the interface for usage reports
+/// on loopback addresses, and the operator's configuration.
 struct SimulatedPlatform {
-  explicit SimulatedPlatform(asio::io_context &io) : Io(io), Store(io) {}
+  explicit SimulatedPlatform(asio::io_context &io)
+      : Io(io), Store(io), Usage(io) {}
 
-  /// Binds the store and adds the first configuration.
+  /// Binds the store and the interface for usage reports and adds the first
+  /// configuration.
   /// \param net third octet of the addresses, 127.0.NET.x.
-  /// \returns false if the store's address cannot be bound.
+  /// \returns false if an address cannot be bound.
   bool start(int net);
 
   /// Adds a target of the service `tiles` or `permits`.
@@ -50,6 +53,7 @@
   std::string lookupAddress(int n) const;
   std::string readyAddress(int n) const;
   std::string peerAddress(int n) const;
+  std::string usageAddress() const;
   std::string storeAddress() const;
   /// \returns the address at which a VM reaches the store: one of its own after
   ///          addStoreAddress(), else storeAddress().
@@ -63,6 +67,9 @@
 
   asio::io_context &Io;
   PlatformStore Store;
+  UsageEndpoint Usage;
+  /// vmSettings() contains the duty to report usage by the rules of Usage.
+  bool DutyOn = false;
   std::vector<std::unique_ptr<PlatformTarget>> Targets;
   std::vector<std::unique_ptr<ScriptedServer>> ScriptedTargets;
   /// VMs that reach the store at an address of their own.
