Leave time for connecting in the timeout of usage reports

Cause: near the end of the lease a report's timeout was all the time left, and was checked again, microseconds later, before the report was written. The check failed always, so nothing was sent unless 1.2 s of the lease were left; with a lease of 1 s, never. Change: the timeout leaves 100 ms. Tests with daemons and the simulated platform cover reports of one and two VMs, a stop and a partition of the holder, lost answers, refusals, refused tokens, and deployments without the duty.

--- a/src/savoryvm/usage_reporter.cpp
+++ b/src/savoryvm/usage_reporter.cpp
@@ -19,8 +19,12 @@
 constexpr Duration RecordRetryPause = Millis(300);
 /// Longest time that a report may take.
 constexpr Duration ReportTimeout = Millis(1200);
-/// A report is not sent with less time than this left in the lease.
+/// A report is not sent with a shorter timeout, near the end of the lease.
 constexpr Duration MinReportTimeout = Millis(200);
+/// Part of the lease that is left for connecting. The timeout is checked
+/// against the lease again before the report is written, and would fail without
+/// it.
+constexpr Duration ConnectReserve = Millis(100);
 
 DutyState initialDuty(const VmSettings &settings, const SteeringState &state) {
   DutyState duty;
@@ -202,7 +206,7 @@
 void UsageReporter::send(const UsageStep &step) {
   const DutyState &duty = Keeper.duty();
   Duration limit =
-      std::min(Duration(ReportTimeout), callLimit(duty, monoNow()));
+      std::min(ReportTimeout, callLimit(duty, monoNow()) - ConnectReserve);
   if (limit < MinReportTimeout)
     return;
   StorePosition claimed = duty.Held->Position;
