Take only a claim that is attached to the renewed lease

Cause: after a lost answer to a claim, the next attempt has a new lease. It found the earlier claim, which is attached to the lease before, took it and renewed the new lease. The key then expired and other VMs could claim, while this VM went on until a watch showed the removal.

--- a/src/savoryvm/duty_keeper.cpp
+++ b/src/savoryvm/duty_keeper.cpp
@@ -131,21 +131,23 @@
 void DutyKeeper::findClaim(std::int64_t lease, MonoTime leaseSentAt,
                            Duration ttl) {
   recordStoreCall(StoreCall::List);
-  call(platform::getRequest(Key),
-       [this, lease, leaseSentAt, ttl](const Result<HttpMessage> &response) {
-         if (!response)
-           return;
-         auto item = platform::readItem(response.value());
-         if (!item)
-           return; // A claim that the store executes later becomes abandoned.
-         auto found = platform::readDutyClaim(item.value().Value,
-                                              item.value().ModRevision);
-         if (found && found.value().Vm == Duty.Self &&
-             found.value().StartId == Duty.StartId)
-           gain(item.value().ModRevision, lease, leaseSentAt + ttl);
-         else
-           onChange(item.value());
-       });
+  call(platform::getRequest(Key), [this, lease, leaseSentAt,
+                                   ttl](const Result<HttpMessage> &response) {
+    if (!response)
+      return;
+    auto item = platform::readItem(response.value());
+    if (!item)
+      return; // A claim that the store executes later becomes abandoned.
+    auto found =
+        platform::readDutyClaim(item.value().Value, item.value().ModRevision);
+    // An earlier claim of this VM whose answer was lost is attached to
+    // another lease, which nobody renews; it becomes abandoned.
+    if (found && found.value().Vm == Duty.Self &&
+        found.value().StartId == Duty.StartId && item.value().Lease == lease)
+      gain(item.value().ModRevision, lease, leaseSentAt + ttl);
+    else
+      onChange(item.value());
+  });
 }
 
 void DutyKeeper::gain(StorePosition position, std::int64_t lease,
