Run the soak with usage reports

Cause: kills, pauses and restores of the store were not tested with a holder of the duty. Change: the daemons report usage, faults of the platform's interface come in an order of their own, so that seeds keep their other faults, and violations found by the interface, or no reports after the recovery, fail the run.

--- a/src/savorysoak/fault_injector.cpp
+++ b/src/savorysoak/fault_injector.cpp
@@ -13,6 +13,7 @@
 using standin::PlatformStore;
 using standin::StoreFaults;
 using standin::TargetMode;
+using standin::UsageFault;
 
 constexpr int MinFaultIntervalMs = 350;
 constexpr int MaxFaultIntervalMs = 850;
@@ -37,7 +38,8 @@
 } // namespace
 
 FaultInjector::FaultInjector(SoakFleet &fleet)
-    : Fleet(fleet), Random(fleet.Options.Seed) {}
+    : Fleet(fleet), Random(fleet.Options.Seed),
+      UsageRandom(fleet.Options.Seed) {}
 
 Duration FaultInjector::randomSpan(int fromMs, int toMs) {
   return Millis(fromMs + randomBelow(toMs - fromMs));
@@ -55,6 +57,7 @@
   // Each run has at least one restore.
   restoreStore();
   injectNext();
+  injectUsageFault();
 }
 
 void FaultInjector::injectNext() {
@@ -290,6 +293,21 @@
   later(randomSpan(300, 2800), [link] { link->setFaults(ProxyFaults()); });
 }
 
+void FaultInjector::injectUsageFault() {
+  static const UsageFault faults[] = {UsageFault::Busy, UsageFault::Lost,
+                                      UsageFault::Late, UsageFault::Reset};
+  auto randomMs = [this](int from, int to) {
+    return Millis(from + UsageRandom() % (to - from));
+  };
+  std::size_t variant = UsageRandom() % std::size(faults);
+  Fleet.Platform.Usage.setFault(faults[variant], randomMs(100, 4000));
+  logLine(Fleet, "usage fault " + std::to_string(variant));
+  ++Fleet.Report.Faults;
+  Duration end = randomMs(300, 2500);
+  later(end, [this] { Fleet.Platform.Usage.setFault(UsageFault::None); });
+  later(end + randomMs(500, 2500), [this] { injectUsageFault(); });
+}
+
 void FaultInjector::withdrawKey() {
   std::string old = Fleet.Key;
   Fleet.Key = "key-" + std::to_string(++LastKeyNumber);
@@ -321,6 +339,7 @@
 void FaultInjector::stop() {
   Stopped = true;
   Fleet.Platform.Store.setFaults(StoreFaults());
+  Fleet.Platform.Usage.setFault(UsageFault::None);
   for (SoakVm &it : Fleet.Vms) {
     it.StoreLink->setFaults(ProxyFaults());
     resumeVm(Fleet, it);
--- a/src/savorysoak/fault_injector.h
+++ b/src/savorysoak/fault_injector.h
@@ -26,6 +26,8 @@
   void injectStoreFault(std::size_t variant);
   void injectTargetFault();
   void injectLinkFault();
+  /// Starts the next fault of the platform's interface for usage reports.
+  void injectUsageFault();
   void terminateWhilePaused();
   void hangupDuringConfigChange();
   void restartDuringStoreOutage();
@@ -46,6 +48,9 @@
 
   SoakFleet &Fleet;
   std::mt19937_64 Random;
+  /// Separate, so that a seed gives the same order of the other faults as
+  /// without usage reports.
+  std::mt19937_64 UsageRandom;
   standin::ConfigTimeouts Timeouts;
   std::vector<std::string> Keys{"key-1"};
   int LastKeyNumber = 1;
--- a/src/savorysoak/main.cpp
+++ b/src/savorysoak/main.cpp
@@ -31,7 +31,8 @@
               << report.Unknown << " unknown, " << report.Kept
               << " on kept connections, " << report.AtIdleTimeout
               << " at the idle timeout, " << report.Excused
-              << " lost beside disruptions, " << report.Faults << " faults, "
+              << " lost beside disruptions, " << report.UsageWindows
+              << " usage windows, " << report.Faults << " faults, "
               << report.Violations.size() << " violations\n";
     for (const std::string &it : report.Violations)
       std::cout << "  " << it << "\n";
--- a/src/savorysoak/soak_fleet.cpp
+++ b/src/savorysoak/soak_fleet.cpp
@@ -117,6 +117,7 @@
   const SoakOptions &options = fleet.Options;
   fleet.Log.open(options.Folder + "/soak.log");
   bool bound = fleet.Platform.start(options.Net);
+  fleet.Platform.DutyOn = true;
   fleet.IdleTimeouts.push_back({monoNow(), standin::ConfigTimeouts().Idle});
   for (int i = 0; i < options.Targets; ++i)
     for (const char *service : {"tiles", "permits"})
--- a/src/savorysoak/soak_fleet.h
+++ b/src/savorysoak/soak_fleet.h
@@ -47,6 +47,8 @@
   int AtIdleTimeout = 0;
   /// Requests that ran and were lost beside a kill or a pause of the process.
   int Excused = 0;
+  /// Windows whose usage was reported.
+  int UsageWindows = 0;
   std::vector<std::string> Violations;
 };
 
--- a/src/savorysoak/soak_run.cpp
+++ b/src/savorysoak/soak_run.cpp
@@ -3,6 +3,8 @@
 #include "caller_load.h"
 #include "fault_injector.h"
 
+#include "savorylb/clock.h"
+
 namespace savorylb::soak {
 namespace {
 
@@ -15,6 +17,20 @@
 /// Time for the requests in flight to finish before the final check.
 constexpr Duration FinishTime = Seconds(4);
 
+/// Adds the violations that the platform found in usage reports, and one if the
+/// reports have not gone on after the recovery.
+void checkUsage(SoakFleet &fleet) {
+  const standin::UsageLedger &ledger = fleet.Platform.Usage.Ledger;
+  const standin::UsageRules &rules = fleet.Platform.Usage.Rules;
+  fleet.Report.UsageWindows = static_cast<int>(ledger.Accepted.size());
+  for (const std::string &it : ledger.Violations)
+    addViolation(fleet, it);
+  if (ledger.Accepted.empty() ||
+      windowEnd(ledger.Accepted.rbegin()->first, rules.Window) + rules.Due <
+          wallNow())
+    addViolation(fleet, "usage is not reported after the recovery");
+}
+
 } // namespace
 
 SoakReport runSoak(const SoakOptions &options) {
@@ -42,6 +58,7 @@
   runAfter(fleet, at + FinishTime, [&fleet] { fleet.Io.stop(); });
   fleet.Io.run();
   load.checkRequests();
+  checkUsage(fleet);
   return fleet.Report;
 }
 
