--- a/src/savoryvm/duty_keeper_test.cpp
+++ b/src/savoryvm/duty_keeper_test.cpp
@@ -37,7 +37,7 @@
     // As a watch shows it, which takes up to 1.5 s.
     if (!present && keeper.duty().Known && !keeper.duty().Held)
       keeper.onChange({platform::UsageDutyKey, "",
-                       keeper.duty().Known->Position, 0, true, false});
+                       keeper.duty().Known->Position, true, false});
     acted += mayAct(keeper.duty(), monoNow());
     CHECK_TRUE(present || !mayAct(keeper.duty(), monoNow()));
   }
