--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -136,6 +136,14 @@
   return found;
 }
 
+/// \returns whether the service has recently received less urgent requests.
+bool hasLessUrgent(const PriorityDemands &demands, int priority, MonoTime now) {
+  constexpr Duration Recent = Seconds(3);
+  return std::any_of(demands.begin(), demands.end(), [&](const auto &it) {
+    return it.first > priority && now - it.second.UpdatedAt <= Recent;
+  });
+}
+
 int totalSlots(const std::vector<PlacementCandidate> &candidates) {
   int slots = 0;
   for (const PlacementCandidate &it : candidates)
@@ -222,7 +230,12 @@
   bool first = !request.Counted;
   request.Counted = true;
   if (state.Bounds.OverloadControl) {
-    query.MaxLatencyFraction = latencyBound(service.Overload);
+    // Less urgent requests of the service are refused first. They often have
+    // longer latency targets, so the pressure alone would refuse the others.
+    query.MaxLatencyFraction =
+        hasLessUrgent(service.Priorities, query.Priority, now)
+            ? WideLatencyFraction
+            : latencyBound(service.Overload);
     if (first)
       countPriority(service.Priorities, query.Priority, mean.CachedMs, now);
     if (state.Deferred < MaxDeferred && request.Tried.empty())
