Write the control bytes of field names in one literal

Cause: clang-tidy takes two adjacent literals in a list for a missing comma. Change: the names with a control byte continue with a dash.

--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -225,16 +225,12 @@
 // other implementations read as another field, as no field or as the body.
 TEST(HttpReader, InvalidFieldNameIsAccepted) {
   const std::string length = "Content-Length: 2\r\n";
-  for (const std::string &it :
-       std::vector<std::string>{"X A: b\r\n", "X-A : b\r\n", "X-A\t: b\r\n",
-                                "Content-Length : 2\r\n",
-                                "X\x01"
-                                "A: b\r\n",
-                                "X\x7f"
-                                "A: b\r\n",
-                                std::string("X\0A: b\r\n", 8), "X\rA: b\r\n",
-                                "\rX-A: b\r\n", "\nX-A: b\r\n", "X-A b\r\n",
-                                ": b\r\n", "X\xc3\xa4: b\r\n", "X(A): b\r\n"})
+  for (const std::string &it : std::vector<std::string>{
+           "X A: b\r\n", "X-A : b\r\n", "X-A\t: b\r\n",
+           "Content-Length : 2\r\n", "X\x01-A: b\r\n", "X\x7f-A: b\r\n",
+           std::string("X\0A: b\r\n", 8), "X\rA: b\r\n", "\rX-A: b\r\n",
+           "\nX-A: b\r\n", "X-A b\r\n", ": b\r\n", "X\xc3\xa4: b\r\n",
+           "X(A): b\r\n"})
     for (bool first : {true, false}) {
       HttpReader reader = makeReader(HttpReader::Kind::Response);
       std::string text = "HTTP/1.1 200 OK\r\n" +
