--- a/src/libsavorysteer/placement_policy.cpp
+++ b/src/libsavorysteer/placement_policy.cpp
@@ -41,11 +41,10 @@
 /// Random part of the cost relative to a cached execution. VMs that know the
 /// same loads would otherwise all choose the same target.
 constexpr double TieSpread = 0.15;
-/// Cost of a further replica relative to a cached execution, so that it is used
-/// only when the first one has a queue. All requests run uncached after a
-/// start; with all replicas alike, each of them would have to run the object
-/// first.
-constexpr double FurtherReplicaCost = 0.5;
+/// Cost of a further replica relative to the time that an uncached execution
+/// takes longer, so that it is used only when the first one has a queue: it may
+/// have lost the object, and after a start it never had it.
+constexpr double FurtherReplicaCost = 0.4;
 /// Cost of an uncached execution at a target that should not have the object,
 /// relative to the time that it takes longer: it occupies the slot for longer
 /// and evicts another object.
@@ -64,11 +63,12 @@
   return static_cast<double>(span.count()) / 1000.0;
 }
 
-/// \returns the cost of a rank relative to a cached execution.
+/// \returns the cost of a rank in ms.
 double rankCost(const PlacementRequest &request, int rank) {
-  if (request.Demands && rank > 0)
-    return FurtherReplicaCost + RankCost * (rank - 1);
-  return RankCost * std::max(0, rank);
+  if (!request.Demands || rank < 1)
+    return RankCost * request.CachedMs * std::max(0, rank);
+  double longer = std::max(0.0, request.UncachedMs - request.CachedMs);
+  return FurtherReplicaCost * longer + RankCost * request.CachedMs * (rank - 1);
 }
 
 /// \returns the cost in ms of sending the response through another zone.
@@ -107,10 +107,9 @@
   result.UncachedMs =
       result.LatencyMs + slow * std::max(0.0, request.UncachedMs) - work;
   double busy = std::min(1.0, requests / slots);
-  result.Cost =
-      result.LatencyMs +
-      request.CachedMs * (BusyCost * busy * busy + rankCost(request, rank)) +
-      FailureCostMs * currentFailureRate(target, now);
+  result.Cost = result.LatencyMs + request.CachedMs * BusyCost * busy * busy +
+                rankCost(request, rank) +
+                FailureCostMs * currentFailureRate(target, now);
   if (target.Entry.Zone != request.Zone)
     result.Cost += CrossZoneMsPerKilobyte *
                        static_cast<double>(request.BodyBytes) / 1000.0 +
