--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -6,6 +6,7 @@
 #include "http_reader.h"
 #include "json_read.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -94,11 +95,13 @@
 
 /// Three VMs in three regions and 18 instances of one service. Runs take 0.4 to
 /// 1.4 s.
-bool startBookings(Fleet &fleet, const std::vector<std::string> &keys = {}) {
+bool startBookings(Fleet &fleet, const std::vector<std::string> &keys = {},
+                   int vmsOfRegion = 1) {
   fleet.Keys.insert(fleet.Keys.end(), keys.begin(), keys.end());
   fleet.Zones = {Tema, Takoradi, Elmina};
   for (const Zone &it : fleet.Zones) {
-    fleet.addVm(it);
+    for (int i = 0; i < vmsOfRegion; ++i)
+      fleet.addVm(it);
     for (int i = 0; i < 6; ++i)
       fleet.addInstance("permitsvc", it, 3, Millis(480)).RunTimeOf =
           [](const std::string &path) {
@@ -228,6 +231,78 @@
                  departures.summary() + "; " + traffic.summary());
 }
 
+/// The objects that each VM sends to each instance, by number of the VM.
+using ObjectMap = std::map<std::string, std::map<std::size_t, int>>;
+
+/// Sends one request for each object to each VM.
+ObjectMap learnObjects(Fleet &fleet) {
+  for (int object = 0; object < Objects; ++object) {
+    for (std::size_t vm = 0; vm < fleet.Vms.size(); ++vm) {
+      ClientRequest request;
+      request.Path = "/permit/first";
+      request.Attempt = std::to_string(object) + "-" + std::to_string(vm);
+      request.Object = std::to_string(object);
+      sendRequest(fleet, fleet.Vms[vm]->callerAddress(), request,
+                  [](const Outcome &) {});
+    }
+    fleet.runFor(Millis(400));
+  }
+  fleet.runFor(Seconds(2));
+  ObjectMap objects;
+  for (const Arrival &it : fleet.Arrivals) {
+    std::size_t dash = it.Attempt.find('-');
+    objects[it.Instance][std::stoul(it.Attempt.substr(dash + 1))] =
+        std::stoi(it.Attempt);
+  }
+  return objects;
+}
+
+/// DRAIN: open connections to the store go silent, and instances leave.
+int removalsBesideSilentConnections(Fleet &fleet, bool trouble) {
+  if (!startBookings(fleet, {}, 2))
+    return cannotRun(fleet, "the fleet isn't ready");
+  fleet.runFor(ContactWindow);
+  ObjectMap objects = learnObjects(fleet);
+  // Two of the 18 instances leave, those that most VMs send objects to.
+  std::vector<Instance *> left;
+  for (auto &it : fleet.Instances)
+    left.push_back(it.get());
+  std::sort(left.begin(), left.end(), [&](Instance *a, Instance *b) {
+    return objects[a->options().Id].size() > objects[b->options().Id].size();
+  });
+  left.resize(2);
+  MonoTime silentAt = monoNow();
+  if (trouble)
+    fleet.Log.line(std::to_string(fleet.StoreLink.silence()) +
+                   " open connections to the store go silent");
+  fleet.runFor(Millis(300));
+  for (Instance *it : left)
+    it->leave();
+  // In touch again, and bound by the removal.
+  Duration wait = silentAt + ContactWindow + Millis(50) - monoNow();
+  fleet.runFor(wait);
+  int n = 0;
+  for (const Instance *it : left)
+    for (const auto &[vm, object] : objects[it->options().Id]) {
+      ClientRequest request;
+      request.Path = "/permit/second";
+      request.Attempt = "late-" + std::to_string(++n);
+      request.Object = std::to_string(object);
+      sendRequest(fleet, fleet.Vms[vm]->callerAddress(), request,
+                  [](const Outcome &) {});
+      fleet.runFor(Millis(30));
+    }
+  fleet.runFor(Seconds(3));
+  int late = 0;
+  for (const Instance *it : left)
+    late += lateArrivals(fleet, *it);
+  return verdict(fleet, late > 0,
+                 std::to_string(late) + " of " + std::to_string(n) +
+                     " requests reached instances later than 2.5 s after the "
+                     "store had accepted the removal of their entries and 3 s "
+                     "after the connections went silent");
+}
+
 /// DRAIN: another writer writes entries that cannot be read, each as large as
 /// the store allows, and two instances report later that they drain.
 int largeEntriesOfAnotherWriter(Fleet &fleet, bool trouble) {
@@ -506,6 +581,8 @@
       {"removals-beside-cut-watches", review::removalsBesideCutWatches},
       {"large-entries", review::largeEntriesOfAnotherWriter},
       {"keys-beside-silent-connections", review::keysBesideSilentConnections},
+      {"removals-beside-silent-connections",
+       review::removalsBesideSilentConnections},
       {"incomplete-entry", review::incompleteEntryOfAnotherWriter},
   };
   if (argc != 4 || !cases.count(argv[1])) {
