--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -193,7 +193,7 @@
 /// DRAIN: the store cuts watches that wait, as it may.
 int removalsBesideCutWatches(Fleet &fleet, bool trouble) {
   if (trouble)
-    fleet.Platform.CutWatchesAfter = Millis(2000);
+    fleet.Platform.CutWatchesAfter = Millis(1500);
   if (!startBookings(fleet))
     return cannotRun(fleet, "the fleet isn't ready");
   fleet.runFor(ContactWindow);
