--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -128,16 +128,6 @@
   return false;
 }
 
-long Vm::peakKb() const {
-  std::ifstream in("/proc/" + std::to_string(Pid) + "/status");
-  std::string name;
-  long kb = 0;
-  while (in >> name)
-    if (name == "VmHWM:" && in >> kb)
-      return kb;
-  return 0;
-}
-
 Fleet::Fleet(std::string folder, std::string program, int net)
     : Folder(std::move(folder)), Program(std::move(program)), Net(net),
       Log(Folder + "/record.txt"), Platform(Io), StoreLink(Io, ip(1) + ":8682"),
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -31,9 +31,6 @@
   void signal(int number) const;
   /// \returns whether the process has not ended.
   bool running();
-  /// \returns the largest resident memory that the process has had so far, in
-  ///          kilobytes; 0 if it is not known.
-  long peakKb() const;
   std::string callerAddress() const { return Ip + ":8686"; }
   std::string readyAddress() const { return Ip + ":8680"; }
   std::string settingsFile() const { return Folder + "/" + Name + ".json"; }
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -89,11 +89,6 @@
   answerWatches();
 }
 
-std::string Store::get(const std::string &key) const {
-  auto it = Items.find(key);
-  return it == Items.end() ? "" : it->second.Value;
-}
-
 void Store::write(const std::string &key, const std::string &value,
                   std::int64_t lease) {
   Item &item = Items[key];
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -23,7 +23,6 @@
   /// Writes of the operator and of instances.
   void put(const std::string &key, const std::string &value);
   void remove(const std::string &key);
-  std::string get(const std::string &key) const;
 
   /// If set, a watch that has waited this long is cut: its connection closes
   /// without a response.
