Deliver responses that wait behind a slow request at a planned stop

Cause: callers that pipeline got no response to requests that targets had answered seconds before. HttpServer writes responses in the order of the requests. At the end of the grace period VmDaemon stopped the event loop while the first request of a connection was still at its target, and the finished responses behind it ended with the process. refuseBeforeStop() judges each request alone and cannot prevent it: the first request had been sent before the signal, the later ones end in time.

A rejection that the server makes itself does not cut off a request.

ReleasedResponsesWait, RejectionBreaksOffEarlierRequest and two tests of RequestProxy cover order and truth.

--- a/src/libsavoryhttp/http_pipeline_test.cpp
+++ b/src/libsavoryhttp/http_pipeline_test.cpp
@@ -15,6 +15,7 @@
   std::map<std::string, std::shared_ptr<ServedRequest>> Requests;
   std::vector<std::string> Served;
   std::vector<std::string> Abandoned;
+  std::string BrokenOff;
   HttpServer Server{Loop.Io, [this](const auto &it) { serve(it); }, rejection};
   std::unique_ptr<BlockingClient> Client;
   std::string Received;
@@ -32,6 +33,11 @@
     Served.push_back(path);
     Requests[path] = request;
     request->OnClose = [this, path] { Abandoned.push_back(path); };
+    std::weak_ptr<ServedRequest> weak = request;
+    request->OnBreakOff = [this, path, weak] {
+      BrokenOff += path;
+      weak.lock()->Respond(jsonResponse(504, "re" + path));
+    };
   }
 
   void run(Millis span = Millis(40)) { Loop.run(span); }
@@ -178,6 +184,43 @@
   CHECK_THROWS(boost::system::system_error, BlockingClient{address});
 }
 
+// Guards against responses that wait for a slow request until the process ends,
+// against requests that are broken off without delaying one, and against
+// responses in another order than the requests.
+TEST(HttpPipeline, ReleasedResponsesWait) {
+  PipelineFixture fixture;
+  fixture.sendRequests({"/1", "/2", "/3", "/4", "/5"});
+  fixture.respond("/3");
+  fixture.Server.startDrain();
+  fixture.Server.releaseResponses();
+  fixture.run();
+  fixture.Received += fixture.Client->receive();
+  STRCMP_EQUAL("/1/2", fixture.BrokenOff.c_str());
+  STRCMP_EQUAL("/1/2/3", fixture.responses().c_str());
+  fixture.respond("/5");
+  STRCMP_EQUAL("/1/2/4", fixture.BrokenOff.c_str());
+  STRCMP_EQUAL("/1/2/3/4/5", fixture.responses().c_str());
+  fixture.run(Millis(700));
+  LONGS_EQUAL(0, fixture.Server.connections());
+}
+
+// Guards against breaking off a request for a rejection, which can wait, and
+// against a request that has no response at the end of a planned stop.
+TEST(HttpPipeline, RejectionBreaksOffEarlierRequest) {
+  PipelineFixture fixture;
+  fixture.send(requestText("/1") + requestText("/2") + "BAD\r\n\r\n");
+  fixture.Server.startDrain();
+  fixture.Server.releaseResponses();
+  fixture.run();
+  STRCMP_EQUAL("", fixture.BrokenOff.c_str());
+  fixture.Server.breakOffRequests();
+  fixture.run();
+  fixture.Received += fixture.Client->receive();
+  STRCMP_EQUAL("/1/2", fixture.BrokenOff.c_str());
+  STRCMP_EQUAL("/1/2", fixture.responses().c_str());
+  CHECK_TRUE(fixture.received("400 Bad Request"));
+}
+
 // Guards against answering a client that left, and against requests that run
 // on for it.
 TEST(HttpPipeline, LeavingClientLeavesRequestsRunning) {
--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -59,6 +59,23 @@
   session->start();
 }
 
+std::vector<std::shared_ptr<HttpServer::Session>> HttpServer::sessions() const {
+  return {Sessions.begin(), Sessions.end()};
+}
+
+void HttpServer::releaseResponses() {
+  if (ReleasingResponses)
+    return;
+  ReleasingResponses = true;
+  for (const auto &it : sessions())
+    it->releaseResponses();
+}
+
+void HttpServer::breakOffRequests() {
+  for (const auto &it : sessions())
+    it->breakOffRequests();
+}
+
 void HttpServer::stopAccepting() {
   if (!Acceptor.is_open())
     return;
@@ -76,12 +93,9 @@
 
 void HttpServer::closeIdle() {
   stopAccepting();
-  std::vector<std::shared_ptr<Session>> idle;
-  for (const auto &it : Sessions)
+  for (const auto &it : sessions())
     if (it->idle())
-      idle.push_back(it);
-  for (const auto &it : idle)
-    it->close(Session::ClosedBy::Server);
+      it->close(Session::ClosedBy::Server);
 }
 
 } // namespace savorylb
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace savorylb {
 
@@ -23,6 +24,9 @@
   std::function<void(HttpMessage)> Respond;
   /// Closes the connection without a response.
   std::function<void()> Abort;
+  /// Optional. Called at most once, if the server can wait no longer for the
+  /// response. Must respond before it returns.
+  std::function<void()> OnBreakOff;
   /// Set before OnClose when the server closed the connection, not the client.
   bool ClosedByServer = false;
   /// Called once if the connection closes before the response, including a
@@ -85,6 +89,14 @@
   /// idle connection still takes one request.
   void startDrain() { Draining = true; }
 
+  /// From now on, a request without a response no longer delays the handler's
+  /// responses behind it on its connection: ServedRequest::OnBreakOff is
+  /// called.
+  void releaseResponses();
+
+  /// Calls ServedRequest::OnBreakOff of all requests that await their response.
+  void breakOffRequests();
+
   /// Accepts the connections that clients have opened, and no later ones.
   void stopAccepting();
 
@@ -101,6 +113,9 @@
   class Session;
   void acceptNext();
   void startSession(asio::ip::tcp::socket socket);
+  /// \returns the open connections. Unlike Sessions, they stay valid while
+  ///          connections close.
+  std::vector<std::shared_ptr<Session>> sessions() const;
 
   asio::io_context &Io;
   asio::ip::tcp::acceptor Acceptor;
@@ -111,6 +126,7 @@
   SessionLimits Limits;
   std::shared_ptr<ByteBudget> BodyBudget;
   bool Draining = false;
+  bool ReleasingResponses = false;
   int InFlight = 0;
   std::set<std::shared_ptr<Session>> Sessions;
 };
--- a/src/libsavoryhttp/http_session.cpp
+++ b/src/libsavoryhttp/http_session.cpp
@@ -175,6 +175,7 @@
   LastRequestTaken = true;
   PendingResponse entry;
   entry.Response = Server.Reject(status, reason);
+  entry.Rejected = true;
   entry.ClosesConnection = true;
   Pending.push_back(std::move(entry));
   writeNext();
--- a/src/libsavoryhttp/http_session.h
+++ b/src/libsavoryhttp/http_session.h
@@ -23,6 +23,10 @@
   void close(ClosedBy by);
   /// \returns whether the connection has no request, not even a part of one.
   bool idle() const;
+  /// Breaks off the requests that delay the handler's response to a later one.
+  void releaseResponses();
+  /// Breaks off all requests that await their response.
+  void breakOffRequests() { breakOff(Pending.size()); }
 
 private:
   /// A request whose response has not been written completely.
@@ -35,6 +39,8 @@
     /// The connection closes after the response.
     bool ClosesConnection = false;
     bool IsHeadRequest = false;
+    /// The response is a rejection that the handler was not asked for.
+    bool Rejected = false;
   };
 
   /// When the bytes from an offset of the client's stream on were read.
@@ -61,6 +67,8 @@
                HttpMessage response);
   void abort(const std::shared_ptr<ServedRequest> &request);
   PendingResponse *find(const std::shared_ptr<ServedRequest> &request);
+  /// Breaks off those of the first `n` requests that await their response.
+  void breakOff(std::size_t n);
 
   void rejectInvalid();
   /// Responds without calling the handler and takes no further requests.
--- a/src/libsavoryhttp/http_session_write.cpp
+++ b/src/libsavoryhttp/http_session_write.cpp
@@ -50,9 +50,33 @@
   entry->Request.reset();
   WaitingBytes += response.Body.size();
   entry->Response = std::move(response);
+  if (Server.ReleasingResponses)
+    releaseResponses();
   writeNext();
 }
 
+void HttpServer::Session::releaseResponses() {
+  auto last = std::find_if(Pending.rbegin(), Pending.rend(),
+                           [](const PendingResponse &entry) {
+                             return entry.Response && !entry.Rejected;
+                           });
+  breakOff(static_cast<std::size_t>(Pending.rend() - last));
+}
+
+void HttpServer::Session::breakOff(std::size_t n) {
+  // Responding can close the connection, which clears Pending.
+  std::vector<std::shared_ptr<ServedRequest>> requests;
+  for (std::size_t i = 0; i < n; ++i)
+    if (Pending[i].Request && !Pending[i].Aborted)
+      requests.push_back(Pending[i].Request);
+  for (const auto &it : requests) {
+    auto onBreakOff = std::move(it->OnBreakOff);
+    it->OnBreakOff = nullptr;
+    if (onBreakOff)
+      onBreakOff();
+  }
+}
+
 void HttpServer::Session::abort(const std::shared_ptr<ServedRequest> &request) {
   PendingResponse *entry = find(request);
   if (!entry)
--- a/src/libsavorysteer/planned_stop.h
+++ b/src/libsavorysteer/planned_stop.h
@@ -5,8 +5,13 @@
 
 namespace savorylb {
 
+/// Retry delay of a request that a VM does not send because it stops. Other VMs
+/// can serve it at once.
+constexpr Duration StoppingRetryAfter = Millis(20);
+
 /// A planned stop of a VM. Its phases are, in this order: callers are accepted,
-/// idle connections close, and requests in progress end.
+/// idle connections close, responses no longer wait for others, and requests in
+/// progress are cut off.
 struct PlannedStop {
   /// When the stop signal arrived.
   MonoTime RequestedAt{};
@@ -22,9 +27,18 @@
 ///          new connection before acceptsUntil() has been read by then.
 MonoTime closesIdleAt(const PlannedStop &stop);
 
+/// \returns from when on a request in progress is cut off if it delays
+/// responses
+///          of targets to later requests of its connection. They can be written
+///          until endsAt().
+MonoTime releasesResponsesAt(const PlannedStop &stop);
+
 /// \returns when requests in progress are cut off.
 MonoTime cutsOffAt(const PlannedStop &stop);
 
+/// \returns when the process ends, even if responses are still being written.
+MonoTime endsAt(const PlannedStop &stop);
+
 /// Decides whether a request may be sent to a target during a stop. A request
 /// that is not expected to end before it is cut off is refused, so that its
 /// caller learns that it has not run and sends it to another VM.
--- a/src/libsavorysteer/planned_stop_test.cpp
+++ b/src/libsavorysteer/planned_stop_test.cpp
@@ -69,8 +69,10 @@
     CHECK_TRUE(Signal < acceptsUntil(stop));
     CHECK_TRUE(acceptsUntil(stop) < closesIdleAt(stop));
     CHECK_TRUE(closesIdleAt(stop) <= Signal + Seconds(3));
-    CHECK_TRUE(closesIdleAt(stop) <= cutsOffAt(stop));
-    CHECK_TRUE(cutsOffAt(stop) < Signal + Seconds(seconds));
+    CHECK_TRUE(closesIdleAt(stop) <= releasesResponsesAt(stop));
+    CHECK_TRUE(releasesResponsesAt(stop) <= cutsOffAt(stop));
+    CHECK_TRUE(cutsOffAt(stop) < endsAt(stop));
+    CHECK_TRUE(endsAt(stop) < Signal + Seconds(seconds));
   }
   // Callers keep a lookup for at most 2 s.
   CHECK_TRUE(acceptsUntil(Stop) > Signal + Seconds(2));
@@ -79,9 +81,12 @@
 // Guards against requests in progress that are cut off before the last sixth of
 // the grace period.
 TEST(PlannedStop, RequestsAreCutOffEarly) {
-  for (int seconds : {6, 10, 30})
-    CHECK_TRUE(cutsOffAt({Signal, Seconds(seconds)}) >=
-               Signal + Duration(Seconds(seconds)) * 5 / 6);
+  for (int seconds : {6, 10, 30}) {
+    PlannedStop stop{Signal, Seconds(seconds)};
+    MonoTime lastSixth = Signal + Duration(Seconds(seconds)) * 5 / 6;
+    CHECK_TRUE(cutsOffAt(stop) >= lastSixth);
+    CHECK_TRUE(releasesResponsesAt(stop) >= lastSixth);
+  }
 }
 
 // Guards against sending a request that will be cut off, and against refusing
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -11,9 +11,6 @@
 
 /// Weight of one connection in the smoothed round trip.
 constexpr double RoundTripWeight = 0.1;
-/// Retry delay of a request that this VM does not send because it stops. Other
-/// VMs can serve it at once.
-constexpr Duration StoppingRetryAfter = Millis(20);
 
 /// Restricts the versions of a service that a request may use.
 struct VersionRule {
--- a/src/savoryctl/request_timeline.cpp
+++ b/src/savoryctl/request_timeline.cpp
@@ -154,6 +154,9 @@
            " was closed before its response arrived." + targetState;
   if (reason == "not-its-own")
     return target + " sent a response that was re-encoded or not signed.";
+  if (reason == "stopping")
+    return "The VM reached the end of its grace period while " + target +
+           " worked on it.";
   if (reason == "timeout") {
     std::string cause =
         "No response from " + target + " after " +
--- a/src/savoryctl/request_timeline_test.cpp
+++ b/src/savoryctl/request_timeline_test.cpp
@@ -84,6 +84,14 @@
   checkCause("The VM itself was paused", timelineOf(timedOut + pause));
 }
 
+// Guards against taking the end of a planned stop for a failure of the target.
+TEST(RequestTimeline, DistinguishesAStopFromALostResponse) {
+  checkCause(
+      "reached the end of its grace period while i-0 worked",
+      timelineOf(line(5000, "vm-2", "request_unknown",
+                      R"("trace":"p-1","target":"i-0","reason":"stopping")")));
+}
+
 // Guards against refusals that are reported without an explanation of their
 // reason.
 TEST(RequestTimeline, ExplainsEachRefusal) {
--- a/src/savoryvm/request_proxy.cpp
+++ b/src/savoryvm/request_proxy.cpp
@@ -56,6 +56,10 @@
   // The callback keeps this object alive until it has responded or the caller's
   // connection closes.
   Request->OnClose = [self] { self->onCallerGone(); };
+  Request->OnBreakOff = [weak] {
+    if (auto proxy = weak.lock())
+      proxy->onBreakOff();
+  };
   Deadline.expires_after(std::max(Duration::zero(), Steered.Deadline - now));
   Deadline.async_wait([weak](const boost::system::error_code &ec) {
     auto proxy = weak.lock();
@@ -365,14 +369,29 @@
     refuse(503, "timeout", NotRunRetryAfter);
 }
 
+void RequestProxy::cancelCurrentSend() {
+  if (CurrentSend.Connection)
+    CurrentSend.Connection->close();
+  cancelSend(State, Steered, CurrentSend.Target, CurrentSend.SentAt);
+}
+
+void RequestProxy::onBreakOff() {
+  if (Done)
+    return;
+  incrementCounter("requests_broken_off");
+  cancelCurrentSend();
+  if (MayHaveRun)
+    fail(504, "stopping");
+  else
+    refuse(503, "stopping", StoppingRetryAfter);
+}
+
 void RequestProxy::onCallerGone() {
   if (Done)
     return;
   Done = true;
   Deadline.cancel();
-  if (CurrentSend.Connection)
-    CurrentSend.Connection->close();
-  cancelSend(State, Steered, CurrentSend.Target, CurrentSend.SentAt);
+  cancelCurrentSend();
   logCompletion(
       0, Request->ClosedByServer ? "connection-closed" : "caller-gone", true);
 }
--- a/src/savoryvm/request_proxy.h
+++ b/src/savoryvm/request_proxy.h
@@ -64,6 +64,10 @@
   void retry(const char *reason);
   void onDeadline();
   void onCallerGone();
+  /// Ends the current send without a result, which says nothing of its target.
+  void cancelCurrentSend();
+  /// Responds at once with what is known, as the VM stops.
+  void onBreakOff();
   void refuse(int status, const char *reason, Duration retryAfter);
   void fail(int status, const char *reason);
   void finish(HttpMessage response, const char *reason, bool local);
--- a/src/savoryvm/request_proxy_test.cpp
+++ b/src/savoryvm/request_proxy_test.cpp
@@ -26,6 +26,7 @@
   PlatformStore Store{Io};
   PlatformTarget First{Io, Store, TargetId1, "tiles", "tema-a", "v1"};
   PlatformTarget Second{Io, Store, TargetId2, "tiles", "tema-a", "v1"};
+  std::vector<std::shared_ptr<ServedRequest>> Requests;
   std::vector<HttpMessage> Responses;
   std::size_t Started = 0;
 
@@ -73,6 +74,7 @@
     request->Respond = [this](HttpMessage response) {
       Responses.push_back(std::move(response));
     };
+    Requests.push_back(request);
     ++Started;
     std::make_shared<RequestProxy>(Io, State, Pool, request)->start();
   }
@@ -157,6 +159,39 @@
   LONGS_EQUAL(received, fixture.First.Received);
 }
 
+// Guards against losing a request that no target has got at the end of a
+// planned stop, and against transmitting it after it was refused.
+TEST(RequestProxy, StopLeavesRequestThatDidNotRunUnanswered) {
+  ProxyFixture fixture;
+  fixture.startRequest();
+  fixture.Requests.at(0)->OnBreakOff();
+  LONGS_EQUAL(503, fixture.Responses.at(0).Status);
+  CHECK_TRUE(findField(fixture.Responses.at(0), "Retry-After") != nullptr);
+  fixture.Io.run_for(std::chrono::milliseconds(50));
+  LONGS_EQUAL(0, fixture.First.Received);
+  CHECK_TRUE(fixture.state(TargetId1).InFlight.empty());
+}
+
+// Guards against a response that reports a request as not run though a target
+// works on it at the end of a planned stop, and against counting that as a
+// failure of the target.
+TEST(RequestProxy, StopReportsRunningRequestAsNotRun) {
+  ProxyFixture fixture;
+  fixture.First.ServiceTime = Seconds(1);
+  fixture.startRequest();
+  fixture.Io.run_for(std::chrono::milliseconds(50));
+  LONGS_EQUAL(1, fixture.First.Received);
+  fixture.Requests.at(0)->OnBreakOff();
+  LONGS_EQUAL(504, fixture.Responses.at(0).Status);
+  CHECK_TRUE(findField(fixture.Responses.at(0), "Retry-After") == nullptr);
+  fixture.Io.restart();
+  fixture.Io.run_for(std::chrono::milliseconds(50));
+  LONGS_EQUAL(1, fixture.First.Cancelled);
+  DOUBLES_EQUAL(0, fixture.state(TargetId1).FailureRate, 0.001);
+  CHECK_TRUE(fixture.state(TargetId1).InFlight.empty());
+  LONGS_EQUAL(1, fixture.Responses.size());
+}
+
 // Guards against a pause that counts as a failure besides the refusal.
 TEST(RequestProxy, RefusalWithAPauseCountsAsOneRefusal) {
   ProxyFixture fixture;
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -167,7 +167,7 @@
           [this](auto away) { onStoreContact(away); }),
       Registration(io, settings.StoreAddress, platform::vmKey(settings.Vm),
                    writeVmEntry(State.Fleet.Self), settings.MinLease),
-      Ticker(io), Signals(io, SIGTERM, SIGHUP, SIGINT) {
+      Ticker(io), ShutdownTimer(io), Signals(io, SIGTERM, SIGHUP, SIGINT) {
   setBounds(State, Settings);
   Link.compressReports(Settings.CompressReports);
   Callers.setBodyBudget(std::make_shared<ByteBudget>(RequestBudgetBytes));
@@ -269,8 +269,6 @@
       tick();
   });
   MonoTime now = monoNow();
-  if (Stopping)
-    advanceShutdown();
   Duration gap = now - TickedAt;
   if (gap > LoggedPause)
     logEvent(EventCode::PauseDetected, {{"gap_us", gap.count()}});
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -115,6 +115,7 @@
   bool PeerLeavesZone = false;
   MonoTime PeerFetchStartedAt{};
   asio::steady_timer Ticker;
+  asio::steady_timer ShutdownTimer;
   asio::signal_set Signals;
   MonoTime StoreAnsweredAt{};
   /// When a call to the store was last found to have failed, and until when the
--- a/src/savoryvm/vm_pipeline_test.cpp
+++ b/src/savoryvm/vm_pipeline_test.cpp
@@ -8,10 +8,12 @@
 namespace {
 
 std::string requestText(const std::string &method, const std::string &path,
-                        const std::string &attempt) {
+                        const std::string &attempt, int deadlineMs = 4000) {
   return method + " " + path +
          " HTTP/1.1\r\nHost: maps.example\r\nAuthorization: Token key-1\r\n"
-         "Savorylb-Deadline-Milliseconds: 4000\r\nContent-Length: 0\r\n"
+         "Savorylb-Deadline-Milliseconds: " +
+         std::to_string(deadlineMs) +
+         "\r\nContent-Length: 0\r\n"
          "Cookie: Savorylb-Affinity-Key=" +
          attempt + "\r\nSavorylb-Attempt-Id: " + attempt + "\r\n\r\n";
 }
@@ -20,6 +22,11 @@
   return requestText("GET", "/tiles/1", attempt);
 }
 
+/// \returns a request whose deadline is later than the end of a planned stop.
+std::string slowRequest(const std::string &attempt) {
+  return requestText("GET", "/tiles/1", attempt, 15000);
+}
+
 /// A caller that sends requests before it has the responses to earlier ones.
 struct PipeliningCaller {
   VmFixture &Fixture;
@@ -59,6 +66,16 @@
     return Received.find(text);
   }
 
+  /// \returns the statuses of the responses in the order of their arrival.
+  std::string statuses() const {
+    const std::string line = "HTTP/1.1 ";
+    std::string text;
+    for (std::size_t at = position(line); at != std::string::npos;
+         at = Received.find(line, at + 1))
+      text += (text.empty() ? "" : " ") + Received.substr(at + line.size(), 3);
+    return text;
+  }
+
   int responses(const std::string &status = "") const {
     std::string line = "HTTP/1.1 " + status;
     int n = 0;
@@ -77,6 +94,18 @@
     addVm(2);
     waitReady(2);
   }
+
+  /// Lets requests take longer than a planned stop.
+  void allowSlowRequests() {
+    ConfigTimeouts timeouts;
+    timeouts.Route = Seconds(20);
+    Platform.configure({"key-1"}, timeouts);
+    runFor(Millis(600));
+  }
+
+  void waitRun(const std::string &attempt) {
+    CHECK_TRUE(waitUntil([&] { return Platform.runCount(attempt) == 1; }));
+  }
 };
 
 } // namespace
@@ -237,6 +266,32 @@
   LONGS_EQUAL(0, fixture.Platform.runCount("p-1"));
 }
 
+// Guards against losing the responses of targets that wait behind a slower
+// request of their connection when a planned stop cuts that request off.
+TEST(VmPipeline, StopDropsResponsesBehindSlowRequest) {
+  PipelineVm fixture;
+  fixture.allowSlowRequests();
+  fixture.Tiles.ServiceTime = Seconds(9);
+  PipeliningCaller caller(fixture);
+  caller.send(slowRequest("t-1"));
+  fixture.waitRun("t-1");
+  fixture.Tiles.ServiceTime = Millis(300);
+  caller.send(slowRequest("t-2") + slowRequest("t-3"));
+  fixture.waitRun("t-3");
+  std::raise(SIGTERM);
+  MonoTime stoppedAt = monoNow();
+  CHECK_TRUE(caller.receives("answer to t-3", Millis(5900)));
+  // The slow request has run in part and may not be reported as not run; its
+  // target had until the last sixth of the grace period.
+  CHECK_TRUE(monoNow() - stoppedAt >= Seconds(5));
+  STRCMP_EQUAL("504 200 200", caller.statuses().c_str());
+  CHECK_TRUE(caller.position("answer to t-2") <
+             caller.position("answer to t-3"));
+  LONGS_EQUAL(1, fixture.Platform.runCount("t-1"));
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Tiles.Cancelled == 1; },
+                               Millis(200)));
+}
+
 // Guards against sending a request whose deadline passed while it arrived, and
 // against a response that does not say that it has not run.
 TEST(VmPipeline, RequestThatArrivesAfterItsDeadlineIsSent) {
--- a/src/savoryvm/vm_shutdown.cpp
+++ b/src/savoryvm/vm_shutdown.cpp
@@ -4,6 +4,13 @@
 #include "vm_daemon.h"
 
 namespace savorylb {
+namespace {
+
+/// Time between two checks of the phase of a planned stop; part of the time
+/// that planned_stop reserves for ending the process.
+constexpr Duration ShutdownCheckInterval = Millis(50);
+
+} // namespace
 
 void VmDaemon::beginShutdown() {
   if (Stopping)
@@ -18,9 +25,15 @@
     Usage->stop();
   Link.sendReports();
   Callers.startDrain();
+  advanceShutdown();
 }
 
 void VmDaemon::advanceShutdown() {
+  ShutdownTimer.expires_after(ShutdownCheckInterval);
+  ShutdownTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      advanceShutdown();
+  });
   MonoTime now = monoNow();
   // The settings may have changed since the signal.
   State.Stop->Grace = Settings.StopGrace;
@@ -29,10 +42,14 @@
   if (now < closesIdleAt(*State.Stop))
     return;
   Callers.closeIdle();
-  bool graceExpired = now >= cutsOffAt(*State.Stop);
+  if (now >= releasesResponsesAt(*State.Stop))
+    Callers.releaseResponses();
+  if (now >= cutsOffAt(*State.Stop))
+    Callers.breakOffRequests();
   // Connections on which a response is being written count as well.
-  if (Callers.connections() > 0 && !graceExpired)
+  if (Callers.connections() > 0 && now < endsAt(*State.Stop))
     return;
+  ShutdownTimer.cancel();
   if (Usage)
     Usage->sendCounts();
   logEvent(EventCode::DaemonStopped,
