Refuse requests that are read behind others during a planned stop

Cause: after the stop signal HttpServer took no further request from a connection with an outstanding one, but went on reading its bytes. When the last response closed the connection, whole requests that had been read were dropped without a response, at-most-once requests that were held included. Their callers could not tell whether they had run.

Change: such a request is rejected with 503 "stopping" and Retry-After 0.02 s, in its place behind the earlier responses; it has not run. The last of these responses closes the connection. What arrives after the head of that response was written is not taken.

Evidence: StopDropsRequestsReadBehindOthers got "200" before and "200 503 503" now, and neither request ran. Passed: HttpPipeline, VmPipeline.

--- a/src/libsavoryhttp/http_pipeline_test.cpp
+++ b/src/libsavoryhttp/http_pipeline_test.cpp
@@ -135,6 +135,11 @@
   fixture.respond("/2");
   STRCMP_EQUAL("/1/2", fixture.responses().c_str());
   CHECK_TRUE(fixture.received("Connection: close"));
+  // Both later requests are rejected, the second one as the last of all.
+  std::size_t rejected = fixture.Received.find(StoppingReason);
+  CHECK_TRUE(rejected > fixture.Received.find("re/2"));
+  CHECK_TRUE(fixture.Received.find(StoppingReason, rejected + 1) >
+             fixture.Received.find("Connection: close"));
   STRCMP_EQUAL("/1/2", fixture.served().c_str());
   fixture.run(Millis(700));
   LONGS_EQUAL(0, fixture.Server.connections());
--- a/src/libsavoryhttp/http_server.cpp
+++ b/src/libsavoryhttp/http_server.cpp
@@ -63,6 +63,12 @@
   return {Sessions.begin(), Sessions.end()};
 }
 
+void HttpServer::startDrain() {
+  Draining = true;
+  for (const auto &it : sessions())
+    it->advance();
+}
+
 void HttpServer::releaseResponses() {
   if (ReleasingResponses)
     return;
--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savorylb {
@@ -34,6 +35,10 @@
   std::function<void()> OnClose;
 };
 
+/// Reason of the rejection of a request that came too late for a server that
+/// stops.
+inline constexpr std::string_view StoppingReason = "stopping";
+
 /// Limits of client requests and connections.
 struct SessionLimits {
   std::int64_t MaxHeaderBytes = 16384;
@@ -85,9 +90,9 @@
   }
 
   /// From now on, a connection closes after the responses to the requests that
-  /// were taken from it; later requests of the same connection are not read. An
-  /// idle connection still takes one request.
-  void startDrain() { Draining = true; }
+  /// were taken from it. Requests that are read behind them are rejected with
+  /// 503 and StoppingReason. An idle connection still takes one request.
+  void startDrain();
 
   /// From now on, a request without a response no longer delays the handler's
   /// responses behind it on its connection: ServedRequest::OnBreakOff is
--- a/src/libsavoryhttp/http_session.cpp
+++ b/src/libsavoryhttp/http_session.cpp
@@ -76,10 +76,6 @@
 bool HttpServer::Session::mayParse() const {
   if (Closed || Lingering || Held || LastRequestTaken)
     return false;
-  // While draining, the response to the last request that was taken closes the
-  // connection. The client may send later ones again, since they were not read.
-  if (Server.Draining && !Pending.empty())
-    return false;
   return Pending.size() < Server.Limits.MaxOutstanding &&
          WaitingBytes < Server.Limits.MaxWaitingBytes;
 }
@@ -95,10 +91,10 @@
 }
 
 void HttpServer::Session::advance() {
-  if (Held && mayServe(*Held)) {
+  if (Held) {
     HttpMessage message = std::move(*Held);
     Held.reset();
-    serve(std::move(message), ArrivedAt);
+    take(std::move(message));
   }
   while ((readerStarted() || !Buffer.empty()) && mayParse() && parseRequest()) {
   }
@@ -135,12 +131,17 @@
   cancelReadTimer();
   HttpMessage message = std::move(Reader->message());
   Reader.reset();
-  if (!mayServe(message)) {
+  take(std::move(message));
+  return !Held;
+}
+
+void HttpServer::Session::take(HttpMessage message) {
+  if (mayServe(message))
+    serve(std::move(message));
+  else if (Server.Draining)
+    rejectAtStop(message);
+  else
     Held = std::move(message);
-    return false;
-  }
-  serve(std::move(message), ArrivedAt);
-  return true;
 }
 
 void HttpServer::Session::onIncompleteRequest(bool first) {
@@ -152,6 +153,18 @@
   }
 }
 
+void HttpServer::Session::rejectAtStop(const HttpMessage &request) {
+  incrementCounter("requests_rejected_at_stop");
+  LastRequestTaken |= !request.KeepAlive;
+  PendingResponse entry;
+  entry.Response = Server.Reject(503, StoppingReason.data());
+  entry.Rejected = true;
+  entry.ClosesConnection = !request.KeepAlive;
+  entry.IsHeadRequest = request.Method == "HEAD";
+  WaitingBytes += entry.Response->Body.size();
+  Pending.push_back(std::move(entry));
+}
+
 void HttpServer::Session::rejectInvalid() {
   switch (Reader->error()) {
   case ReadError::HeaderTooLarge:
@@ -191,11 +204,11 @@
   writeNext();
 }
 
-void HttpServer::Session::serve(HttpMessage message, MonoTime arrivedAt) {
+void HttpServer::Session::serve(HttpMessage message) {
   ++Server.InFlight;
   auto request = std::make_shared<ServedRequest>();
   request->Message = std::move(message);
-  request->ArrivedAt = arrivedAt;
+  request->ArrivedAt = ArrivedAt;
   std::weak_ptr<Session> weakSession = shared_from_this();
   std::weak_ptr<ServedRequest> weakRequest = request;
   request->Respond = [weakSession, weakRequest](HttpMessage response) {
--- a/src/libsavoryhttp/http_session.h
+++ b/src/libsavoryhttp/http_session.h
@@ -23,6 +23,8 @@
   void close(ClosedBy by);
   /// \returns whether the connection has no request, not even a part of one.
   bool idle() const;
+  /// Parses and serves buffered requests as far as the limits allow.
+  void advance();
   /// Breaks off the requests that delay the handler's response to a later one.
   void releaseResponses();
   /// Breaks off all requests that await their response.
@@ -56,13 +58,13 @@
   bool mayServe(const HttpMessage &request) const;
   bool isConcurrent(const HttpMessage &request) const;
 
-  /// Parses and serves buffered requests as far as the limits allow.
-  void advance();
   /// \returns whether parsing can continue with the next request.
   bool parseRequest();
   MonoTime arrivalOfBuffer();
   void onIncompleteRequest(bool first);
-  void serve(HttpMessage message, MonoTime arrivedAt);
+  /// Serves, holds or rejects a complete request.
+  void take(HttpMessage message);
+  void serve(HttpMessage message);
   void respond(const std::shared_ptr<ServedRequest> &request,
                HttpMessage response);
   void abort(const std::shared_ptr<ServedRequest> &request);
@@ -70,6 +72,8 @@
   /// Breaks off those of the first `n` requests that await their response.
   void breakOff(std::size_t n);
 
+  /// Responds to a complete request without calling the handler.
+  void rejectAtStop(const HttpMessage &request);
   void rejectInvalid();
   /// Responds without calling the handler and takes no further requests.
   void reject(int status, const char *reason);
--- a/src/libsavoryhttp/http_session_write.cpp
+++ b/src/libsavoryhttp/http_session_write.cpp
@@ -103,6 +103,7 @@
 void HttpServer::Session::write(HttpMessage response, bool close,
                                 bool isHeadRequest) {
   Writing = true;
+  LastRequestTaken |= close;
   WaitingBytes -= std::min(WaitingBytes, response.Body.size());
   removeHopByHopFields(response);
   auto head = std::make_shared<std::string>(
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -64,8 +64,10 @@
 }
 
 HttpMessage rejectCaller(int status, const char *reason) {
-  return platform::localResponse(
-      status, reason, status == 503 ? NoMemoryRetryAfter : Duration::zero());
+  Duration retryAfter = status != 503              ? Duration::zero()
+                        : reason == StoppingReason ? StoppingRetryAfter
+                                                   : NoMemoryRetryAfter;
+  return platform::localResponse(status, reason, retryAfter);
 }
 
 std::string makeStartId() {
--- a/src/savoryvm/vm_pipeline_test.cpp
+++ b/src/savoryvm/vm_pipeline_test.cpp
@@ -292,6 +292,29 @@
                                Millis(200)));
 }
 
+// Guards against leaving without a response a request that a stopping VM reads
+// behind others of its connection, and against running it.
+TEST(VmPipeline, StopDropsRequestsReadBehindOthers) {
+  PipelineVm fixture;
+  fixture.Tiles.ServiceTime = Millis(900);
+  PipeliningCaller caller(fixture);
+  caller.send(tileRequest("t-1") + requestText("POST", "/permits/1", "p-1"));
+  fixture.waitRun("t-1");
+  std::raise(SIGTERM);
+  fixture.runFor(Millis(300));
+  caller.send(tileRequest("t-2"));
+  CHECK_TRUE(fixture.waitUntil([&] {
+    caller.poll();
+    return caller.Ended;
+  }));
+  STRCMP_EQUAL("200 503 503", caller.statuses().c_str());
+  CHECK_TRUE(caller.position("Retry-After: 0.020") != std::string::npos);
+  CHECK_TRUE(caller.position("Connection: close") >
+             caller.position("HTTP/1.1 503"));
+  LONGS_EQUAL(0, fixture.Platform.runCount("p-1"));
+  LONGS_EQUAL(0, fixture.Platform.runCount("t-2"));
+}
+
 // Guards against sending a request whose deadline passed while it arrived, and
 // against a response that does not say that it has not run.
 TEST(VmPipeline, RequestThatArrivesAfterItsDeadlineIsSent) {
