Refuse requests whose body is still arriving at the end of a planned stop

Cause: a request that had been received in part when the grace period ended got no response; the process ended with it. Its caller could not tell that it had not run, so an upload or a booking was not sent again.

--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -99,7 +99,8 @@
   /// called.
   void releaseResponses();
 
-  /// Calls ServedRequest::OnBreakOff of all requests that await their response.
+  /// Calls ServedRequest::OnBreakOff of all requests that await their response,
+  /// and rejects those that have not been received completely.
   void breakOffRequests();
 
   /// Accepts the connections that clients have opened, and no later ones.
--- a/src/libsavoryhttp/http_session.h
+++ b/src/libsavoryhttp/http_session.h
@@ -27,8 +27,9 @@
   void advance();
   /// Breaks off the requests that delay the handler's response to a later one.
   void releaseResponses();
-  /// Breaks off all requests that await their response.
-  void breakOffRequests() { breakOff(Pending.size()); }
+  /// Breaks off all requests that await their response, and rejects one that
+  /// has not been received completely.
+  void breakOffRequests();
 
 private:
   /// A request whose response has not been written completely.
--- a/src/libsavoryhttp/http_session_write.cpp
+++ b/src/libsavoryhttp/http_session_write.cpp
@@ -63,6 +63,12 @@
   breakOff(static_cast<std::size_t>(Pending.rend() - last));
 }
 
+void HttpServer::Session::breakOffRequests() {
+  breakOff(Pending.size());
+  if (readerStarted())
+    reject(503, StoppingReason.data());
+}
+
 void HttpServer::Session::breakOff(std::size_t n) {
   // Responding can close the connection, which clears Pending.
   std::vector<std::shared_ptr<ServedRequest>> requests;
--- a/src/savoryvm/vm_pipeline_test.cpp
+++ b/src/savoryvm/vm_pipeline_test.cpp
@@ -315,6 +315,22 @@
   LONGS_EQUAL(0, fixture.Platform.runCount("t-2"));
 }
 
+// Guards against a request whose body is still arriving at the end of a planned
+// stop, and whose caller is not told that it has not run.
+TEST(VmPipeline, StopDropsUploadInProgress) {
+  PipelineVm fixture;
+  PipeliningCaller caller(fixture);
+  caller.send("POST /permits/1 HTTP/1.1\r\nHost: maps.example\r\n"
+              "Authorization: Token key-1\r\n"
+              "Savorylb-Attempt-Id: p-1\r\nContent-Length: 4\r\n\r\nab");
+  fixture.runFor(Millis(50));
+  std::raise(SIGTERM);
+  CHECK_TRUE(caller.receives("HTTP/1.1 503", Millis(5900)));
+  CHECK_TRUE(caller.receives("stopping", Millis(20)));
+  CHECK_TRUE(caller.position("Retry-After: 0.020") != std::string::npos);
+  LONGS_EQUAL(0, fixture.Platform.runCount("p-1"));
+}
+
 // Guards against sending a request whose deadline passed while it arrived, and
 // against a response that does not say that it has not run.
 TEST(VmPipeline, RequestThatArrivesAfterItsDeadlineIsSent) {
