Do not take a cut watch for an outage of the store

Cause: the store may cut a waiting watch. Each cut counted as a failure of the store, and a removal of a target is held for 2.3 s after such a failure, in case its entry only lapsed in an outage. While watches were cut more often than that, removals were never applied, and targets that had left got requests until they ended.

Change: a watch whose connection is closed shows no outage if the store has executed another call since the watch was sent and within 1.5 s. If an outage has just begun, the next call fails and shows it. A call that is refused or gets no response counts as before. HttpChannel reports a timeout with a code of its own.

The other side: the three tests of LostWatch for entries that lapse in outages and CutWatchCountsAsOutage (an outage in progress, one that ended) pass.

--- a/src/libsavorysteer/store_contact.cpp
+++ b/src/libsavorysteer/store_contact.cpp
@@ -8,10 +8,16 @@
   contact.ServedAt = now;
 }
 
-MonoTime awayUntil(const StoreContact &contact, MonoTime sentAt, MonoTime now) {
+std::optional<MonoTime> awayUntil(const StoreContact &contact,
+                                  CallFailure failure, MonoTime sentAt,
+                                  MonoTime now) {
   bool serves = now - contact.ServedAt <= MinOutage;
-  return serves && contact.BackAt && *contact.BackAt > sentAt ? *contact.BackAt
-                                                              : now;
+  if (serves && contact.BackAt && *contact.BackAt > sentAt)
+    return contact.BackAt;
+  // If an outage has just begun, the next calls fail.
+  if (serves && failure == CallFailure::WatchCut && contact.ServedAt > sentAt)
+    return std::nullopt;
+  return now;
 }
 
 } // namespace savorylb
--- a/src/libsavorysteer/store_contact.h
+++ b/src/libsavorysteer/store_contact.h
@@ -20,6 +20,14 @@
   std::optional<MonoTime> BackAt;
 };
 
+/// How a call to the store failed.
+enum class CallFailure {
+  /// The connection of a watch that the store let wait was closed.
+  WatchCut,
+  /// The call was refused or got no response.
+  NotServed,
+};
+
 /// Records that the store executed a call.
 void recordServed(StoreContact &contact, MonoTime now);
 
@@ -28,7 +36,11 @@
 /// that outage ended.
 /// \param sentAt when the call was sent.
 /// \param now when it failed.
-MonoTime awayUntil(const StoreContact &contact, MonoTime sentAt, MonoTime now);
+/// \returns nothing if the failure shows no outage: the store may cut a waiting
+///          watch while it serves other calls.
+std::optional<MonoTime> awayUntil(const StoreContact &contact,
+                                  CallFailure failure, MonoTime sentAt,
+                                  MonoTime now);
 
 } // namespace savorylb
 
--- a/src/savoryvm/http_channel.cpp
+++ b/src/savoryvm/http_channel.cpp
@@ -57,10 +57,10 @@
       return;
     if (end == ExchangeOutcome::Answered)
       done(Result<HttpMessage>(std::move(response)));
+    else if (end == ExchangeOutcome::TimedOut)
+      done(failure(ErrorCode::Timeout, "no response in time"));
     else
-      done(failure(ErrorCode::Unknown, end == ExchangeOutcome::TimedOut
-                                           ? "no response in time"
-                                           : "connection broken"));
+      done(failure(ErrorCode::Unknown, "connection broken"));
   };
   Connection->start(std::move(exchange));
 }
--- a/src/savoryvm/lost_watch_test.cpp
+++ b/src/savoryvm/lost_watch_test.cpp
@@ -62,8 +62,29 @@
   }
 }
 
-// Guards against the same after an outage that no watch notices, because it is
-// over before the watch ends.
+// Guards against holding a removal because the store cuts waiting watches,
+// though it serves all other calls.
+TEST(LostWatch, CutWatchesHoldARemoval) {
+  VmFixture fixture;
+  PlatformTarget &target = fixture.addOnlyTarget();
+  fixture.addVm(2);
+  fixture.waitReady(2);
+  fixture.runFor(Seconds(1));
+  auto cutFor = [&](Duration time) {
+    for (MonoTime end = monoNow() + time; monoNow() < end;) {
+      fixture.runFor(Millis(1250));
+      fixture.Platform.Store.cutWatches();
+    }
+  };
+  cutFor(Millis(2500));
+  CHECK_TRUE(fixture.isServed(2));
+  target.removeEntry();
+  cutFor(RemovalLimit);
+  CHECK_FALSE(fixture.isServed(2));
+}
+
+// Guards against removing a live target whose entry lapsed in an outage that no
+// watch notices, because it is over before the watch ends.
 TEST(LostWatch, LapsedTargetIsRemovedByAWatchThatOutlivesTheOutage) {
   VmFixture fixture;
   PlatformTarget &target = fixture.addOnlyTarget();
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -117,15 +117,16 @@
   restartList();
 }
 
-void StoreSync::onFailure(const Error &error, MonoTime sentAt) {
+void StoreSync::onFailure(const Error &error, CallFailure failure,
+                          MonoTime sentAt) {
   Listing = false;
   // NotFound: the store no longer has the history that the watch needs. All
   // other errors come from the network or from an overloaded store.
   if (error.Code == ErrorCode::NotFound)
     NeedsList = true;
-  else {
+  else if (auto away = awayUntil(*Contact, failure, sentAt, monoNow())) {
     StoreFailedAt = monoNow();
-    OnContact(awayUntil(*Contact, sentAt, *StoreFailedAt));
+    OnContact(away);
     answerFollowers();
   }
   schedule(RetryPause, [this] { watch(); });
@@ -151,7 +152,7 @@
         if (page)
           onListPage(page.value(), after.empty());
         else
-          onFailure(page.error(), sentAt);
+          onFailure(page.error(), CallFailure::NotServed, sentAt);
       });
 }
 
@@ -240,7 +241,10 @@
                         : Result<platform::StorePage>(failure(
                               response.error().Code, response.error().Message));
         if (!page) {
-          onFailure(page.error(), sentAt);
+          bool cut = !response && response.error().Code == ErrorCode::Unknown;
+          onFailure(page.error(),
+                    cut ? CallFailure::WatchCut : CallFailure::NotServed,
+                    sentAt);
           return;
         }
         StoreFailedAt.reset();
--- a/src/savoryvm/store_sync.h
+++ b/src/savoryvm/store_sync.h
@@ -123,7 +123,7 @@
   HttpMessage updateResponse(StorePosition after, bool deflate) const;
   bool hasNews(StorePosition after) const;
   void schedule(Duration pause, const std::function<void()> &next);
-  void onFailure(const Error &error, MonoTime sentAt);
+  void onFailure(const Error &error, CallFailure failure, MonoTime sentAt);
 
   asio::steady_timer Timer;
   HttpChannel Channel;
--- a/src/standins/platform/platform_store.cpp
+++ b/src/standins/platform/platform_store.cpp
@@ -114,6 +114,10 @@
   while (!History.empty() && History.back().Revision > Revision)
     History.pop_back();
   CompactedRevision = std::min(CompactedRevision, Revision);
+  cutWatches();
+}
+
+void PlatformStore::cutWatches() {
   for (const Watch &it : Watches) {
     it.Timer->cancel();
     it.Request->Abort();
--- a/src/standins/platform/platform_store.h
+++ b/src/standins/platform/platform_store.h
@@ -44,6 +44,8 @@
   /// with status 410.
   void compactHistory();
   void setFaults(const StoreFaults &faults) { Faults = faults; }
+  /// Closes the connections of the waiting watches without a response.
+  void cutWatches();
   /// Copies items, revision and leases.
   void takeCopy();
   /// Returns to the last copy in the next era, as a store that lost its latest
