List the documents when changes are too large for one response of a watch

Cause: a watch whose response exceeded the size limit of the channel was repeated from the same revision. Seven entries of another writer, 1 MB each and not readable, hid all later changes until the store discarded its history after 20 s. Targets that drained or left meanwhile got requests. Each failed watch also counted as an outage of the store.

Change: a response that is too large, or that does not fit into the memory for responses, makes the mirror list the documents, which come in pages. It shows no outage. The pages of the stand-in for the store are limited to 1 MB, like those of the platform.

Evidence: LargeChangesHideLaterOnes failed without the list and passes now, with the other seven tests of StoreSync.

--- a/src/libsavoryhttp/http_connection.cpp
+++ b/src/libsavoryhttp/http_connection.cpp
@@ -131,6 +131,7 @@
   SkippedResponses = 0;
   SkippedBytes = 0;
   RejectReason = nullptr;
+  ResponseTooLarge = false;
   expectResponse();
   Timer.expires_after(Current.Timeout);
   Timer.async_wait([self, generation](const boost::system::error_code &ec) {
@@ -234,6 +235,8 @@
     }
     if (state == ReadState::Invalid) {
       RejectReason = rejectReason(Reader->error());
+      ResponseTooLarge = Reader->error() == ReadError::BodyTooLarge ||
+                         Reader->error() == ReadError::NoMemory;
       finish(ExchangeOutcome::Broken);
       return;
     }
--- a/src/libsavoryhttp/http_connection.h
+++ b/src/libsavoryhttp/http_connection.h
@@ -75,6 +75,8 @@
   /// Why the bytes of the last exchange were rejected; null if the connection
   /// itself failed.
   const char *RejectReason = nullptr;
+  /// The last response exceeded the size limit or the memory budget.
+  bool ResponseTooLarge = false;
 
 private:
   void expectResponse();
--- a/src/libsavorysteer/store_contact.cpp
+++ b/src/libsavorysteer/store_contact.cpp
@@ -11,6 +11,8 @@
 std::optional<MonoTime> awayUntil(const StoreContact &contact,
                                   CallFailure failure, MonoTime sentAt,
                                   MonoTime now) {
+  if (failure == CallFailure::ResponseTooLarge)
+    return std::nullopt;
   bool serves = now - contact.ServedAt <= MinOutage;
   if (serves && contact.BackAt && *contact.BackAt > sentAt)
     return contact.BackAt;
--- a/src/libsavorysteer/store_contact.h
+++ b/src/libsavorysteer/store_contact.h
@@ -24,6 +24,8 @@
 enum class CallFailure {
   /// The connection of a watch that the store let wait was closed.
   WatchCut,
+  /// The response was too large to be read.
+  ResponseTooLarge,
   /// The call was refused or got no response.
   NotServed,
 };
@@ -36,8 +38,9 @@
 /// that outage ended.
 /// \param sentAt when the call was sent.
 /// \param now when it failed.
-/// \returns nothing if the failure shows no outage: the store may cut a waiting
-///          watch while it serves other calls.
+/// \returns nothing if the failure shows no outage: the store responded, or it
+/// cut
+///          a waiting watch while it serves other calls.
 std::optional<MonoTime> awayUntil(const StoreContact &contact,
                                   CallFailure failure, MonoTime sentAt,
                                   MonoTime now);
--- a/src/savoryvm/http_channel.cpp
+++ b/src/savoryvm/http_channel.cpp
@@ -59,6 +59,8 @@
       done(Result<HttpMessage>(std::move(response)));
     else if (end == ExchangeOutcome::TimedOut)
       done(failure(ErrorCode::Timeout, "no response in time"));
+    else if (connection->ResponseTooLarge)
+      done(failure(ErrorCode::Malformed, "response too large"));
     else
       done(failure(ErrorCode::Unknown, "connection broken"));
   };
--- a/src/savoryvm/http_channel.h
+++ b/src/savoryvm/http_channel.h
@@ -26,8 +26,9 @@
   /// \param timeout limit for the response; also for connecting, if below
   ///        600 ms.
   /// \param done receives the response, Unavailable when nothing was sent, or
-  ///        Timeout or Unknown when the call may have taken effect; Unknown if
-  ///        the connection ended before a complete response.
+  ///        Timeout, Malformed or Unknown when the call may have taken effect:
+  ///        Malformed if the response is too large, Unknown if the connection
+  ///        ended before a complete response.
   /// \param maySend if it is given and returns false, nothing is sent.
   void call(HttpMessage request, Duration timeout, const Done &done,
             const MaySend &maySend = nullptr);
--- a/src/savoryvm/store_sync.cpp
+++ b/src/savoryvm/store_sync.cpp
@@ -29,6 +29,18 @@
                      static_cast<std::int64_t>(response.value().Body.size()));
 }
 
+/// \param error the error of a watch without a response.
+CallFailure watchFailure(const Error &error) {
+  switch (error.Code) {
+  case ErrorCode::Unknown:
+    return CallFailure::WatchCut;
+  case ErrorCode::Malformed:
+    return CallFailure::ResponseTooLarge;
+  default:
+    return CallFailure::NotServed;
+  }
+}
+
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &io, const std::string &address,
@@ -120,9 +132,11 @@
 void StoreSync::onFailure(const Error &error, CallFailure failure,
                           MonoTime sentAt) {
   Listing = false;
-  // NotFound: the store no longer has the history that the watch needs. All
-  // other errors come from the network or from an overloaded store.
-  if (error.Code == ErrorCode::NotFound)
+  // NotFound: the store no longer has the history that the watch needs. Changes
+  // that are too large for one response are read by a list, which has pages.
+  // All other errors come from the network or from an overloaded store.
+  if (error.Code == ErrorCode::NotFound ||
+      failure == CallFailure::ResponseTooLarge)
     NeedsList = true;
   else if (auto away = awayUntil(*Contact, failure, sentAt, monoNow())) {
     StoreFailedAt = monoNow();
@@ -241,9 +255,9 @@
                         : Result<platform::StorePage>(failure(
                               response.error().Code, response.error().Message));
         if (!page) {
-          bool cut = !response && response.error().Code == ErrorCode::Unknown;
           onFailure(page.error(),
-                    cut ? CallFailure::WatchCut : CallFailure::NotServed,
+                    response ? CallFailure::NotServed
+                             : watchFailure(response.error()),
                     sentAt);
           return;
         }
--- a/src/savoryvm/store_sync_test.cpp
+++ b/src/savoryvm/store_sync_test.cpp
@@ -159,6 +159,22 @@
                                ConfigApply));
 }
 
+// Guards against a mirror that asks again and again for changes that are too
+// large for one response, and learns nothing else meanwhile.
+TEST(StoreSync, LargeChangesHideLaterOnes) {
+  SyncFixture fixture;
+  // The first change ends the watch; the others are in the next response.
+  for (int i = 0; i < 10; ++i)
+    fixture.Store.put("op/large-" + std::to_string(i),
+                      std::string(1 << 20, 'x'));
+  fixture.Store.put("op/b", "2");
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Seen["op/b"] == "2"; },
+                               ConfigApply));
+  fixture.Store.put("op/c", "3");
+  CHECK_TRUE(fixture.waitUntil([&] { return fixture.Seen["op/c"] == "3"; },
+                               ConfigApply));
+}
+
 // Guards against VMs that all watch the store when they start, as they do not
 // know the VM yet that they will follow.
 TEST(StoreSync, WatchBeginsBeforeTheOtherVmsAreKnown) {
--- a/src/standins/platform/platform_store.cpp
+++ b/src/standins/platform/platform_store.cpp
@@ -15,6 +15,8 @@
 
 constexpr Duration LeaseCheckInterval = Millis(50);
 constexpr std::size_t PageItems = 20;
+/// A page ends with the item that reaches this size.
+constexpr std::size_t PageBytes = 1 << 20;
 
 std::string base64(const std::string &bytes) {
   std::ostringstream out;
@@ -200,14 +202,16 @@
   body["items"] = Json::arrayValue;
   body["hasMore"] = false;
   body["storeRevision"] = static_cast<Json::Int64>(Revision);
+  std::size_t bytes = 0;
   for (const auto &[key, item] : Items) {
     if (!startsWith(key, prefix) || key <= after)
       continue;
-    if (body["items"].size() == PageItems) {
+    if (body["items"].size() == PageItems || bytes >= PageBytes) {
       body["hasMore"] = true;
       break;
     }
     body["items"].append(itemJson(key, item));
+    bytes += item.Value.size();
   }
   return jsonMessage(200, body);
 }
