Reject requests whose transfer coding does not end in "chunked"

Cause: the parser takes a request with another transfer coding, such as "gzip", "xchunked" or "chunked, identity", for one without a body. It was forwarded without its body, and the bytes of the body were served as requests of their own. HTTP/1.1 asks for 400, as the length of such a body is not known.

Change: the reader rejects these requests as malformed; the server answers 400 and closes the connection. Responses are not affected: their body may end with the connection.

--- a/src/libsavoryhttp/http_reader.cpp
+++ b/src/libsavoryhttp/http_reader.cpp
@@ -119,7 +119,12 @@
     Message.Fields.emplace_back(std::string(name.data(), name.size()),
                                 std::string(value.data(), value.size()));
   }
-  void on_header_impl(ParseError &) override {}
+  void on_header_impl(ParseError &ec) override {
+    // The parser takes a request with any other transfer coding for one
+    // without a body.
+    if (IsRequest && HasEncoding && !Base::chunked())
+      ec = http::error::bad_transfer_encoding;
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t> &length,
                          ParseError &ec) override {
     if (length && Message.Memory && !Message.Memory->fits(*length)) {
--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -38,6 +38,27 @@
     CHECK_TRUE(readRequest(start + it) == ReadState::Invalid);
 }
 
+// Guards against request smuggling: without `chunked` at the end, the length of
+// the body is not known, and its bytes would be read as further requests.
+TEST(HttpReader, UnknownTransferEncodingHidesRequest) {
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:";
+  const std::string body = "\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const char *it : {"", " gzip", " identity", " xchunked",
+                         " chunked, identity", " chunked, gzip"}) {
+    std::string text = start + it + body;
+    HttpReader reader = makeReader(HttpReader::Kind::Request);
+    CHECK_TRUE_TEXT(reader.read(text) == ReadState::Invalid, it);
+    CHECK_TRUE_TEXT(reader.error() == ReadError::Malformed, it);
+  }
+  CHECK_TRUE(readRequest(start + " gzip, chunked\r\n\r\n0\r\n\r\n") ==
+             ReadState::Complete);
+  // The body of a response may end with its connection.
+  std::string response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nab";
+  HttpReader reader = makeReader(HttpReader::Kind::Response);
+  CHECK_TRUE(reader.read(response) == ReadState::NeedMore);
+  CHECK_TRUE(reader.readEof() == ReadState::Complete);
+}
+
 // Guards against the parser consuming bytes of the next pipelined request.
 TEST(HttpReader, LeavesTheNextRequestInTheBuffer) {
   std::string text = "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\n";
