Test other ways in which the first request of a connection ends

Cause: responses that are ready must also be delivered when the request ahead of them ends by a target that breaks off, beside a reload and a new configuration, and when several VMs stop one after the other. Change: two tests; no fault found. A timeout of the first request was covered before (FailureAffectsOtherRequests).

--- a/src/savoryvm/vm_pipeline_test.cpp
+++ b/src/savoryvm/vm_pipeline_test.cpp
@@ -34,9 +34,9 @@
   std::string Received;
   bool Ended = false;
 
-  explicit PipeliningCaller(VmFixture &fixture)
+  explicit PipeliningCaller(VmFixture &fixture, int vm = 2)
       : Fixture(fixture), Socket(fixture.Io) {
-    Socket.connect(*parseEndpoint(fixture.Platform.callerAddress(2)));
+    Socket.connect(*parseEndpoint(fixture.Platform.callerAddress(vm)));
     Socket.non_blocking(true);
   }
 
@@ -166,6 +166,57 @@
   LONGS_EQUAL(6, caller.responses());
 }
 
+// Guards against losing responses behind a request whose target breaks off,
+// when settings and configuration are read again meanwhile.
+TEST(VmPipeline, BrokenTargetDropsResponsesBehindIt) {
+  PipelineVm fixture;
+  fixture.Tiles.ServiceTime = Millis(800);
+  PipeliningCaller caller(fixture);
+  caller.send(tileRequest("t-1"));
+  fixture.waitRun("t-1");
+  fixture.Tiles.ServiceTime = Millis(5);
+  caller.send(tileRequest("t-2") + tileRequest("t-3"));
+  fixture.waitRun("t-3");
+  fixture.runFor(Millis(100));
+  fixture.Tiles.Mode = TargetMode::DropResponse;
+  std::raise(SIGHUP);
+  fixture.Platform.configure({"key-1"});
+  CHECK_TRUE(caller.receives("answer to t-3", Millis(1500)));
+  STRCMP_EQUAL("502 200 200", caller.statuses().c_str());
+  CHECK_TRUE(caller.position("answer to t-2") <
+             caller.position("answer to t-3"));
+}
+
+// Guards against losing responses behind a slow request when several VMs stop
+// one after the other, and against running a request twice on the way.
+TEST(VmPipeline, StopsInTurnDropResponses) {
+  PipelineVm fixture;
+  fixture.addVm(3, "tema-b");
+  fixture.waitReady(3);
+  fixture.allowSlowRequests();
+  PipeliningCaller first(fixture, 2);
+  PipeliningCaller second(fixture, 3);
+  auto sendTo = [&](PipeliningCaller &caller, const std::string &name) {
+    fixture.Tiles.ServiceTime = Seconds(9);
+    caller.send(slowRequest(name + "1"));
+    fixture.waitRun(name + "1");
+    fixture.Tiles.ServiceTime = Millis(50);
+    caller.send(slowRequest(name + "2"));
+    fixture.waitRun(name + "2");
+  };
+  sendTo(first, "a-");
+  sendTo(second, "b-");
+  fixture.Vms[0]->beginShutdown();
+  fixture.runFor(Millis(1000));
+  fixture.Vms[1]->beginShutdown();
+  CHECK_TRUE(first.receives("answer to a-2", Millis(4900)));
+  CHECK_TRUE(second.receives("answer to b-2", Millis(1500)));
+  STRCMP_EQUAL("504 200", first.statuses().c_str());
+  STRCMP_EQUAL("504 200", second.statuses().c_str());
+  for (const char *it : {"a-1", "a-2", "b-1", "b-2"})
+    LONGS_EQUAL(1, fixture.Platform.runCount(it));
+}
+
 // Guards against a team's limit that is counted once for a connection, and
 // against a refusal in the place of another response.
 TEST(VmPipeline, TeamLimitCountsConnections) {
