Test that a planned stop ends within its grace period beside slow peers

Cause: the fix for responses that wait behind others writes until shortly before the end of the grace period; no test ran the process with a caller that does not read, a body that does not arrive and a silent target at that time. Change: SlowPeersDelayStop in vm_process_test, with the grace period of the deployments, 6 s.

--- a/src/savorysoak/vm_process_test.cpp
+++ b/src/savorysoak/vm_process_test.cpp
@@ -96,9 +96,9 @@
     return !Process.running();
   }
 
-  void provideSettings() {
+  void provideSettings(const char *stopGrace = StopGrace) {
     auto settings = platform::parseObject(Platform.vmSettings(Vm, "tema-a"));
-    (*settings)["stop_grace"] = StopGrace;
+    (*settings)["stop_grace"] = stopGrace;
     std::string text = platform::writeJson(*settings);
     // The daemon reads the file again later.
     std::string next = Settings + ".next";
@@ -166,6 +166,47 @@
   LONGS_EQUAL(LogLimitBytes, std::filesystem::file_size(vm.Folder + "/vm.log"));
 }
 
+// Guards against a process that outlives its grace period, and is then killed,
+// because a target is silent, a caller does not read its response or a body
+// does not arrive.
+TEST(VmProcess, SlowPeersDelayStop) {
+  StartingVm vm;
+  PlatformTarget &target = vm.Platform.addTarget("tiles", "tema-a");
+  target.PaddingBytes = 8 << 20;
+  vm.provideSettings("6000ms");
+  std::vector<asio::ip::tcp::socket> sockets;
+  auto send = [&](const std::string &head, const std::string &body) {
+    sockets.emplace_back(vm.Io);
+    sockets.back().connect(*parseEndpoint(vm.Platform.callerAddress(Vm)));
+    asio::write(sockets.back(),
+                asio::buffer(head +
+                             " HTTP/1.1\r\nHost: maps.example\r\n"
+                             "Authorization: Token key-1\r\n"
+                             "Savorylb-Attempt-Id: a-" +
+                             std::to_string(sockets.size()) +
+                             "\r\nContent-Length: " + body));
+  };
+  auto received = [&](int n) {
+    for (MonoTime end = monoNow() + Seconds(2);
+         target.Received < n && monoNow() < end;)
+      vm.runFor(Millis(5));
+    LONGS_EQUAL(n, target.Received);
+  };
+  CHECK_FALSE(vm.ended(Millis(1500)));
+  send("GET /tiles/1", "0\r\n\r\n");
+  received(1);
+  vm.runFor(Millis(200));
+  target.Mode = TargetMode::Silent;
+  send("GET /tiles/2", "0\r\n\r\n");
+  received(2);
+  send("POST /permits/1", "4\r\n\r\nab");
+  vm.runFor(Millis(100));
+  vm.Process.signal(SIGTERM);
+  CHECK_TRUE(vm.ended(Seconds(6)));
+  std::optional<int> status = vm.Process.takeStatus();
+  CHECK_TRUE(status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0);
+}
+
 // Guards against requests that announce large bodies using up the address space
 // before the bodies arrive.
 TEST(VmProcess, AnnouncedBodiesEndProcess) {
