Make the parts of the planned stop easier to read

Cause: a name that was needed as a C string was a string view, a nested conditional chose the retry delay, and a comment was wrapped badly.

--- a/src/libsavoryhttp/http_server.h
+++ b/src/libsavoryhttp/http_server.h
@@ -9,7 +9,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace savorylb {
@@ -26,7 +25,8 @@
   /// Closes the connection without a response.
   std::function<void()> Abort;
   /// Optional. Called at most once, if the server can wait no longer for the
-  /// response. Must respond before it returns.
+  /// response. Must respond before it returns, and say truthfully whether the
+  /// request may have run.
   std::function<void()> OnBreakOff;
   /// Set before OnClose when the server closed the connection, not the client.
   bool ClosedByServer = false;
@@ -37,7 +37,7 @@
 
 /// Reason of the rejection of a request that came too late for a server that
 /// stops.
-inline constexpr std::string_view StoppingReason = "stopping";
+inline constexpr char StoppingReason[] = "stopping";
 
 /// Limits of client requests and connections.
 struct SessionLimits {
--- a/src/libsavoryhttp/http_session.cpp
+++ b/src/libsavoryhttp/http_session.cpp
@@ -157,7 +157,7 @@
   incrementCounter("requests_rejected_at_stop");
   LastRequestTaken |= !request.KeepAlive;
   PendingResponse entry;
-  entry.Response = Server.Reject(503, StoppingReason.data());
+  entry.Response = Server.Reject(503, StoppingReason);
   entry.Rejected = true;
   entry.ClosesConnection = !request.KeepAlive;
   entry.IsHeadRequest = request.Method == "HEAD";
--- a/src/libsavoryhttp/http_session_write.cpp
+++ b/src/libsavoryhttp/http_session_write.cpp
@@ -56,6 +56,7 @@
 }
 
 void HttpServer::Session::releaseResponses() {
+  // A rejection by the server can wait until all requests are broken off.
   auto last = std::find_if(Pending.rbegin(), Pending.rend(),
                            [](const PendingResponse &entry) {
                              return entry.Response && !entry.Rejected;
@@ -66,7 +67,7 @@
 void HttpServer::Session::breakOffRequests() {
   breakOff(Pending.size());
   if (readerStarted())
-    reject(503, StoppingReason.data());
+    reject(503, StoppingReason);
 }
 
 void HttpServer::Session::breakOff(std::size_t n) {
--- a/src/libsavorysteer/store_contact.h
+++ b/src/libsavorysteer/store_contact.h
@@ -39,8 +39,7 @@
 /// \param sentAt when the call was sent.
 /// \param now when it failed.
 /// \returns nothing if the failure shows no outage: the store responded, or it
-/// cut
-///          a waiting watch while it serves other calls.
+///          cut a waiting watch while it serves other calls.
 std::optional<MonoTime> awayUntil(const StoreContact &contact,
                                   CallFailure failure, MonoTime sentAt,
                                   MonoTime now);
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -10,6 +10,7 @@
 
 #include <random>
 #include <sstream>
+#include <string_view>
 #include <sys/resource.h>
 
 namespace savorylb {
@@ -64,9 +65,11 @@
 }
 
 HttpMessage rejectCaller(int status, const char *reason) {
-  Duration retryAfter = status != 503              ? Duration::zero()
-                        : reason == StoppingReason ? StoppingRetryAfter
-                                                   : NoMemoryRetryAfter;
+  Duration retryAfter = Duration::zero();
+  if (std::string_view(reason) == StoppingReason)
+    retryAfter = StoppingRetryAfter;
+  else if (status == 503)
+    retryAfter = NoMemoryRetryAfter;
   return platform::localResponse(status, reason, retryAfter);
 }
 
