--- a/src/libsavoryhttp/http_reader_test.cpp
+++ b/src/libsavoryhttp/http_reader_test.cpp
@@ -45,7 +45,8 @@
   const std::string body = "\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
   for (const char *it : {"", " gzip", " identity", " xchunked",
                          " chunked, identity", " chunked, gzip"}) {
-    std::string text = start + it + body;
+    std::string text = start;
+    text.append(it).append(body);
     HttpReader reader = makeReader(HttpReader::Kind::Request);
     CHECK_TRUE_TEXT(reader.read(text) == ReadState::Invalid, it);
     CHECK_TRUE_TEXT(reader.error() == ReadError::Malformed, it);
