Report how the requests of each route end

Change: a route_report line every 5 s for each route with requests (in time, late, refused, failed and abandoned by reason, estimates, pressure, largest reservation), and the counter route_requests by route and outcome.

--- a/src/include/savorylb/event_code.h
+++ b/src/include/savorylb/event_code.h
@@ -28,6 +28,7 @@
   ResponseRejected = 2008,
   SpilledOver = 2009,
   RequestPlaced = 2010,
+  RouteReported = 2011,
   // Limits.
   TokensBorrowed = 2101,
   TokensLent = 2102,
--- a/src/include/savorylb/metrics.h
+++ b/src/include/savorylb/metrics.h
@@ -18,6 +18,11 @@
                    const std::string &region, const std::string &outcome,
                    const std::string &reason, Duration total, Duration added);
 
+/// Counts ended requests of a route, as `route_requests`.
+/// \param outcome outcome and reason, as `refused.overload`.
+void recordRouteRequests(const std::string &route, const std::string &outcome,
+                         std::int64_t n);
+
 /// Records the time that one request spent in a stage.
 /// \param stage `body`, `admit`, `once`, `place`, `target` or `finish`.
 void recordStageTime(const std::string &stage, Duration took);
--- a/src/libsavoryobserve/event_code.cpp
+++ b/src/libsavoryobserve/event_code.cpp
@@ -66,6 +66,8 @@
     return "spilled_over";
   case EventCode::RequestPlaced:
     return "request_placed";
+  case EventCode::RouteReported:
+    return "route_report";
   case EventCode::TokensBorrowed:
     return "tokens_borrowed";
   case EventCode::TokensLent:
--- a/src/libsavoryobserve/metrics.cpp
+++ b/src/libsavoryobserve/metrics.cpp
@@ -34,6 +34,8 @@
   std::mutex Lock;
   std::map<std::string, RequestSeries> Requests;
   std::map<std::string, LatencyHistogram> Stages;
+  /// By labels.
+  std::map<std::string, std::int64_t> RouteRequests;
   std::map<std::string, std::int64_t> Counters;
   std::map<std::string, double> Gauges;
 };
@@ -81,6 +83,14 @@
   series.Added(static_cast<double>(added.count()) * 1e-6);
 }
 
+void recordRouteRequests(const std::string &route, const std::string &outcome,
+                         std::int64_t n) {
+  std::string labels = "route=\"" + route + "\",outcome=\"" + outcome + '"';
+  MetricShard &shard = shardFor(labels);
+  std::lock_guard<std::mutex> guard(shard.Lock);
+  shard.RouteRequests[labels] += n;
+}
+
 void recordStageTime(const std::string &stage, Duration took) {
   MetricShard &shard = shardFor(stage);
   std::lock_guard<std::mutex> guard(shard.Lock);
@@ -143,6 +153,7 @@
   std::ostringstream latency;
   std::ostringstream added;
   std::ostringstream stages;
+  std::ostringstream routes;
   std::ostringstream others;
   for (MetricShard &shard : shards()) {
     std::lock_guard<std::mutex> guard(shard.Lock);
@@ -160,6 +171,8 @@
     for (const auto &[stage, latencies] : shard.Stages)
       renderHistogram(stages, "savorylb_stage_seconds",
                       "stage=\"" + stage + "\"", latencies);
+    for (const auto &[labels, n] : shard.RouteRequests)
+      routes << "savorylb_route_requests_total{" << labels << "} " << n << '\n';
     for (const auto &[name, value] : shard.Counters)
       others << "# TYPE savorylb_" << name << "_total counter\nsavorylb_"
              << name << "_total " << value << '\n';
@@ -170,6 +183,7 @@
   return "# TYPE savorylb_requests_total counter\n" + requests.str() +
          "# TYPE savorylb_request_seconds histogram\n" + latency.str() +
          "# TYPE savorylb_added_seconds histogram\n" + added.str() +
+         "# TYPE savorylb_route_requests_total counter\n" + routes.str() +
          "# TYPE savorylb_stage_seconds histogram\n" + stages.str() +
          others.str();
 }
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -252,6 +252,11 @@
       countObjectRequest(service.Demands, query.Object, now);
   }
   PlacementChoice choice = placeRequest(query, candidates.Usable, now);
+  RouteStatistics &statistics = service.Statistics[request.Route->Id];
+  statistics.ReservedFraction =
+      std::max(statistics.ReservedFraction, query.ReservedFraction);
+  if (first && choice.Defer > Duration::zero())
+    ++statistics.Deferred;
   if (choice.Defer > Duration::zero())
     return choice;
   if (state.Bounds.OverloadControl && request.Tried.empty()) {
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -10,6 +10,7 @@
 #include "retry_window.h"
 #include "rollout_stage.h"
 #include "rollout_trial.h"
+#include "route_statistics.h"
 #include "slot_reservation.h"
 #include "steer_config.h"
 #include "target_availability.h"
@@ -96,6 +97,7 @@
   std::map<RouteId, double> ResponseBytes;
   /// Requests that this VM may send to the new version.
   TrialCredit NewVersionCredit;
+  std::map<RouteId, RouteStatistics> Statistics;
 };
 
 /// The complete state from which requests are steered.
--- a/src/savoryvm/request_completion.cpp
+++ b/src/savoryvm/request_completion.cpp
@@ -8,6 +8,15 @@
 namespace savorylb {
 namespace {
 
+RouteOutcome routeOutcome(EventCode code, int status) {
+  if (status == 0)
+    return RouteOutcome::Abandoned;
+  if (code == EventCode::RequestRefused)
+    return RouteOutcome::Refused;
+  return code == EventCode::RequestDone && status < 500 ? RouteOutcome::Answered
+                                                        : RouteOutcome::Failed;
+}
+
 /// \returns expected number of requests at the target, for the log.
 double expectedLoad(const SteeringState &state, const TargetId &target,
                     MonoTime now) {
@@ -64,6 +73,8 @@
                   {"load_at_send", CurrentSend.LoadAtSend},
                   {"load_now", expectedLoad(State, CurrentSend.Target, now)},
                   {"total_us", total.count()}});
+  countOutcome(State, Steered, routeOutcome(code, status),
+               local ? reason : "status-" + std::to_string(status), total);
   Duration atTarget =
       SendCount > 0 ? now - CurrentSend.SentAt : Duration::zero();
   recordRequest(Steered.Team.Value, Steered.Service.Value,
--- a/src/savoryvm/vm_daemon.cpp
+++ b/src/savoryvm/vm_daemon.cpp
@@ -18,6 +18,7 @@
 
 constexpr Duration TickInterval = Millis(100);
 constexpr Duration ReportInterval = Millis(1000);
+constexpr Duration RouteReportInterval = Seconds(5);
 constexpr Duration ReloadInterval = Millis(2000);
 /// Time between two ticks above which the process counts as having stood still,
 /// and above which that is logged.
@@ -308,6 +309,10 @@
     Pool.sweep();
     recordMemory();
   }
+  if (now - RoutesReportedAt >= RouteReportInterval) {
+    RoutesReportedAt = now;
+    reportRoutes();
+  }
   if (now - ReloadedAt >= ReloadInterval)
     reload();
   flushEventStream();
--- a/src/savoryvm/vm_daemon.h
+++ b/src/savoryvm/vm_daemon.h
@@ -74,6 +74,8 @@
 
   void tick();
   void recordMemory();
+  /// Logs how the requests of each route ended, and counts them.
+  void reportRoutes();
   void applyPendingRemovals(MonoTime now);
   void writeRolloutStatuses(MonoTime now);
   void fetchFromPeer(MonoTime now);
@@ -123,6 +125,7 @@
   MonoTime StoreFailedAt{};
   MonoTime StoreAwayUntil{};
   MonoTime ReportedAt{};
+  MonoTime RoutesReportedAt{};
   MonoTime LoadsSentAt{};
   MonoTime ReloadedAt{};
   MonoTime TickedAt{};
--- a/src/savoryvm/vm_service.cpp
+++ b/src/savoryvm/vm_service.cpp
@@ -3,6 +3,7 @@
 #include "edge_protocol.h"
 #include "request_proxy.h"
 #include "savorylb/clock.h"
+#include "savorylb/event_log.h"
 #include "savorylb/metrics.h"
 #include "vm_daemon.h"
 
@@ -14,6 +15,13 @@
 /// time until acceptsUntil().
 constexpr Duration LookupMaxAgeLimit = Millis(2000);
 
+std::string formatLost(const std::map<std::string, int> &lost) {
+  std::string text;
+  for (const auto &[reason, n] : lost)
+    text += (text.empty() ? "" : " ") + reason + ':' + std::to_string(n);
+  return text;
+}
+
 } // namespace
 
 bool VmDaemon::mayRunConcurrently(const HttpMessage &request) const {
@@ -54,6 +62,29 @@
       addresses, std::min(LookupMaxAgeLimit, Duration(Settings.LookupMaxAge))));
 }
 
+void VmDaemon::reportRoutes() {
+  for (const RouteReport &it : takeRouteReports(State)) {
+    const RouteStatistics &counts = it.Statistics;
+    const std::string &route = it.Route.Value;
+    recordRouteRequests(route, "answered.in-time", counts.InTime);
+    recordRouteRequests(route, "answered.late", counts.Late);
+    for (const auto &[reason, n] : counts.Lost)
+      recordRouteRequests(route, reason, n);
+    logEvent(EventCode::RouteReported,
+             {{"route", route},
+              {"service", it.Service.Value},
+              {"in_time", std::int64_t(counts.InTime)},
+              {"late", std::int64_t(counts.Late)},
+              {"lost", formatLost(counts.Lost)},
+              {"deferred", std::int64_t(counts.Deferred)},
+              {"reserved", counts.ReservedFraction},
+              {"cached_ms", it.CachedMs},
+              {"uncached_ms", it.UncachedMs},
+              {"slot_ms", it.SlotMs},
+              {"pressure", it.Pressure}});
+  }
+}
+
 void VmDaemon::servePeer(const std::shared_ptr<ServedRequest> &request) {
   const std::string &path = request->Message.Path;
   if (path == "/config" && !ConfigText.empty()) {
