Let a route's processing times recover from a wrong first estimate

Cause: a route's estimate began as a copy of the service's first route, and each response updated the mean that was closer. If all of a route's responses fall on one side of both means, the other mean never changes. Which route comes first differs between VMs, so some took downloads for 1.2 s and others reports for 0.18 s. Change: each route starts from its own latency target. The last 32 measurements are kept; if all are on one side, both means are determined again, from the two groups that the measurements form, or from the responses known to be cached.

--- a/src/libsavorysteer/processing_times.cpp
+++ b/src/libsavorysteer/processing_times.cpp
@@ -1,7 +1,6 @@
 #include "processing_times.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace savorylb {
 namespace {
@@ -11,26 +10,14 @@
 constexpr double SameZoneMs = 1;
 constexpr double SameRegionMs = 4;
 constexpr double OtherRegionMs = 50;
-/// Initial processing times of a service's first route, as fractions of its
-/// latency target.
+/// Initial processing times of a route, as fractions of its latency target.
 constexpr double InitialCachedFraction = 0.45;
 constexpr double InitialUncachedFraction = 1.4;
-/// Weight of one response in the smoothed processing time.
-constexpr double ProcessingTimeWeight = 0.05;
 
 /// Ratio to the expected time of an uncached execution from which a response
 /// shows that the target is slow.
 constexpr double ClearlySlow = 1.5;
 
-/// Updates the mean of the class to which a processing time is closer. Used
-/// with replicas, where an object is requested from one of its targets too
-/// rarely by one VM to tell otherwise whether it was cached.
-void recordByMagnitude(ServiceState::ProcessingTime &mean, double tookMs) {
-  bool cached = tookMs < std::sqrt(mean.CachedMs * mean.UncachedMs);
-  double &value = cached ? mean.CachedMs : mean.UncachedMs;
-  value += ProcessingTimeWeight * (tookMs - value);
-}
-
 } // namespace
 
 double roundTripMs(const SteeringState &state, const TargetState &target) {
@@ -43,28 +30,27 @@
   return target.Region == self.Region ? SameRegionMs : OtherRegionMs;
 }
 
-ServiceState::ProcessingTime &processingTime(ServiceState &service,
-                                             const RouteRule &route) {
+ProcessingTime &processingTime(ServiceState &service, const RouteRule &route) {
   auto known = service.ProcessingTimes.find(route.Id);
   if (known != service.ProcessingTimes.end())
     return known->second;
   double target = static_cast<double>(route.LatencyTarget.count());
-  ServiceState::ProcessingTime first{InitialCachedFraction * target,
-                                     InitialUncachedFraction * target};
-  // Requests of a new route are likely to resemble those of the other routes.
-  if (!service.ProcessingTimes.empty())
-    first = service.ProcessingTimes.begin()->second;
+  ProcessingTime first{InitialCachedFraction * target,
+                       InitialUncachedFraction * target};
   return service.ProcessingTimes.emplace(route.Id, first).first->second;
 }
 
 void recordProcessingTime(SteeringState &state, const SteeredRequest &request,
                           const TargetState &target, double tookMs,
                           MonoTime now) {
-  ServiceState::ProcessingTime &mean =
+  ProcessingTime &mean =
       processingTime(state.Services[request.Service], *request.Route);
   double processingMs = std::max(1.0, tookMs - roundTripMs(state, target));
+  // With replicas, one VM requests an object from one of its targets too rarely
+  // to tell otherwise whether it was cached.
   if (state.Bounds.ObjectReplicas > 1 && request.Route->Affinity) {
-    recordByMagnitude(mean, processingMs);
+    addProcessingSample(mean, processingMs,
+                        knownCached(target, request.Object, now));
     return;
   }
   bool seen = target.Objects.count(request.Object) > 0;
--- a/src/libsavorysteer/processing_times.h
+++ b/src/libsavorysteer/processing_times.h
@@ -11,8 +11,7 @@
 /// \returns the mean processing times of a route's requests at a service;
 ///          estimates from the route's latency target until there are
 ///          responses.
-ServiceState::ProcessingTime &processingTime(ServiceState &service,
-                                             const RouteRule &route);
+ProcessingTime &processingTime(ServiceState &service, const RouteRule &route);
 
 /// Updates the mean processing times from one response, if it can be told
 /// whether the target had the object cached.
--- a/src/libsavorysteer/steering_state.cpp
+++ b/src/libsavorysteer/steering_state.cpp
@@ -218,8 +218,7 @@
   query.Elapsed = now - request.ArrivedAt;
   query.Remaining = request.Deadline - now;
   query.Tried = request.Tried;
-  const ServiceState::ProcessingTime &mean =
-      processingTime(service, *request.Route);
+  const ProcessingTime &mean = processingTime(service, *request.Route);
   query.CachedMs = mean.CachedMs;
   query.UncachedMs = mean.UncachedMs;
   if (state.Bounds.SharedLoads)
--- a/src/libsavorysteer/steering_state.h
+++ b/src/libsavorysteer/steering_state.h
@@ -6,6 +6,7 @@
 #include "overload_control.h"
 #include "placement_policy.h"
 #include "planned_stop.h"
+#include "processing_time.h"
 #include "region_shares.h"
 #include "retry_window.h"
 #include "rollout_stage.h"
@@ -80,11 +81,6 @@
   /// Versions that were rolled back. Their targets may still run.
   std::set<VersionId> RejectedVersions;
   RolloutEvidence Evidence;
-  /// Mean processing time of a request at a target.
-  struct ProcessingTime {
-    double CachedMs = 0;
-    double UncachedMs = 0;
-  };
   std::map<RouteId, ProcessingTime> ProcessingTimes;
   /// Recent requests for objects, if objects have replicas.
   ObjectDemands Demands;
