Keep a route's processing times while measurements do not contradict them

Cause: both means were determined again whenever all of the last 32 measurements were on one side. At a target cache that holds nearly all objects this is a common run of luck, and slow machines then passed for uncached executions. Change: they are determined again only if a mean is far (a factor of 2) from every kept measurement; the mean of cached executions also if executions that are known to be cached count as uncached. The tests of ProcessingTimes pass.

--- a/src/libsavorysteer/processing_time.cpp
+++ b/src/libsavorysteer/processing_time.cpp
@@ -13,7 +13,7 @@
 constexpr double MinGroupRatio = 2;
 /// Size from which a group is taken for one, so that single outliers are not.
 constexpr std::size_t MinGroupSize = 2;
-/// Measurements from which both means may be determined again.
+/// Measurements from which the mean of cached executions may be raised.
 constexpr std::size_t MinSamples = 8;
 
 struct Groups {
@@ -52,35 +52,49 @@
   return std::sqrt(mean.CachedMs * mean.UncachedMs);
 }
 
-/// \returns whether one of the means was closer to all kept measurements.
-bool isOneSided(const ProcessingTime &mean) {
-  double middle = middleMs(mean);
-  auto below = std::count_if(
+/// \returns whether one of the means is closer to all measurements, and the
+/// other
+///          one is far from each of them.
+bool isStuck(const ProcessingTime &mean) {
+  auto [least, most] = std::minmax_element(
       mean.Recent.begin(), mean.Recent.end(),
-      [&](const ProcessingSample &it) { return it.TookMs < middle; });
-  return below == 0 || below == static_cast<std::ptrdiff_t>(mean.Recent.size());
+      [](const auto &a, const auto &b) { return a.TookMs < b.TookMs; });
+  return mean.UncachedMs > MinGroupRatio * most->TookMs ||
+         MinGroupRatio * mean.CachedMs < least->TookMs;
 }
 
+/// Determines the means again from all kept measurements.
 void determineAgain(ProcessingTime &mean) {
   std::vector<double> logs;
-  bool anyCached = false;
-  for (const ProcessingSample &it : mean.Recent) {
+  for (const ProcessingSample &it : mean.Recent)
     logs.push_back(std::log(it.TookMs));
-    anyCached = anyCached || it.Cached;
-  }
   std::sort(logs.begin(), logs.end());
   Groups groups = separate(logs);
   if (std::min(groups.LowSize, groups.HighSize) >= MinGroupSize &&
       groups.HighMs >= MinGroupRatio * groups.LowMs) {
     mean.CachedMs = groups.LowMs;
     mean.UncachedMs = groups.HighMs;
-  } else if (anyCached && logs.front() >= std::log(middleMs(mean))) {
-    mean.CachedMs = std::exp(std::accumulate(logs.begin(), logs.end(), 0.0) /
-                             static_cast<double>(logs.size()));
-    mean.UncachedMs = std::max(mean.UncachedMs, mean.CachedMs);
   }
 }
 
+/// Determines the mean of cached executions again if they are known to take
+/// longer than the point from which they count as uncached.
+void raiseCachedMean(ProcessingTime &mean) {
+  double middle = middleMs(mean);
+  double sum = 0;
+  std::size_t known = 0;
+  for (const ProcessingSample &it : mean.Recent) {
+    if (it.TookMs < middle)
+      return;
+    sum += it.Cached ? std::log(it.TookMs) : 0;
+    known += it.Cached ? 1 : 0;
+  }
+  if (known < MinGroupSize)
+    return;
+  mean.CachedMs = std::exp(sum / static_cast<double>(known));
+  mean.UncachedMs = std::max(mean.UncachedMs, mean.CachedMs);
+}
+
 } // namespace
 
 void addProcessingSample(ProcessingTime &mean, double tookMs, bool cached) {
@@ -90,7 +104,9 @@
   mean.Next = (mean.Next + 1) % ProcessingSamples;
   double &closer = tookMs < middleMs(mean) ? mean.CachedMs : mean.UncachedMs;
   closer += ProcessingTimeWeight * (tookMs - closer);
-  if (mean.Recent.size() >= MinSamples && isOneSided(mean))
+  if (mean.Recent.size() >= MinSamples)
+    raiseCachedMean(mean);
+  if (mean.Recent.size() == ProcessingSamples && isStuck(mean))
     determineAgain(mean);
 }
 
--- a/src/libsavorysteer/processing_time.h
+++ b/src/libsavorysteer/processing_time.h
@@ -30,10 +30,10 @@
 /// Adds a measurement of an execution of which it is not known whether it was
 /// uncached; it updates the mean that is closer.
 ///
-/// If only one of the means was closer to the kept measurements, the other one
-/// may be far from all of them, and would stay so. Both are then determined
-/// again: if the measurements form two groups (Otsu's method), from these; if
-/// they form a single one of which some are known to be cached, from all.
+/// A mean that is far from all kept measurements would not change any more, as
+/// the other one is closer to each. Both are then determined again from the two
+/// groups that the measurements form (Otsu's method). So is the mean of cached
+/// executions if such are known and all measurements are closer to the other.
 /// \param tookMs in ms, at least 1.
 /// \param cached the target is known to have had the object cached.
 void addProcessingSample(ProcessingTime &mean, double tookMs, bool cached);
