--- a/src/libsavorysteer/steer_config.cpp
+++ b/src/libsavorysteer/steer_config.cpp
@@ -36,4 +36,8 @@
   return team && team->Priority >= 0 ? team->Priority : route.Priority;
 }
 
+Urgency requestUrgency(const RouteRule &route, const TeamRule *team) {
+  return {requestPriority(route, team), route.Priority};
+}
+
 } // namespace savorylb
