--- a/src/libsavorysteer/processing_time.cpp
+++ b/src/libsavorysteer/processing_time.cpp
@@ -52,9 +52,8 @@
   return std::sqrt(mean.CachedMs * mean.UncachedMs);
 }
 
-/// \returns whether one of the means is closer to all measurements, and the
-/// other
-///          one is far from each of them.
+/// \returns whether one of the means is so far from all measurements that none
+///          will update it.
 bool isStuck(const ProcessingTime &mean) {
   auto [least, most] = std::minmax_element(
       mean.Recent.begin(), mean.Recent.end(),
